--- /dev/null
+++ b/modules/base/base.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Module base: types that every other module uses.
+///
+/// Purpose: time, results, random numbers, closed lists with names, log lines and digests.
+/// Depends on: GLib (checksums), glog, tl::expected, xxHash.
+/// Does no input or output except `log_line::write`.
+
+#include <base/digest.h>
+#include <base/enum_names.h>
+#include <base/log_line.h>
+#include <base/reason.h>
+#include <base/result.h>
+#include <base/rng.h>
+#include <base/time.h>
--- /dev/null
+++ b/modules/base/time.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace chivewharf {
+
+using duration = std::chrono::nanoseconds;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// CLOCK_BOOTTIME as a standard clock. It goes on while the host is suspended, which is why leases
+/// are measured with it. Only `runtime` calls `now()`; decision code takes the time as a parameter.
+struct boot_clock {
+    using duration = chivewharf::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using time_point = boot_clock::time_point;
+
+/// Wall time in milliseconds since the Unix epoch, for headers and records that leave the process.
+using wall_ms = std::int64_t;
+
+/// Reads the wall clock. Only `runtime` calls it.
+wall_ms wall_now_ms() noexcept;
+
+/// Whole milliseconds of a duration, rounded down.
+constexpr std::int64_t to_ms(duration d) noexcept
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+/// Seconds of a duration as a floating-point number.
+constexpr double to_seconds(duration d) noexcept
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+/// Duration of a floating-point number of seconds.
+constexpr duration from_seconds(double s) noexcept
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
+}
+
+} // namespace chivewharf
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the project's sources. Arguments select files by regular expression.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+run-clang-tidy -quiet -p "$build" -j "$(nproc)" "${@:-.*/(modules|apps|testing|bench)/.*\.cpp$}" \
+    > "$build/lint.log" 2>&1 || { grep -E 'error:|warning:' -A4 "$build/lint.log"; exit 1; }
+echo "lint: clean"
