--- /dev/null
+++ b/modules/runtime/http_server.cpp
@@ -0,0 +1,256 @@
+#include <runtime/http_server.h>
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <vector>
+
+namespace chivewharf::runtime {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+constexpr duration sweep_interval = milliseconds{500};
+constexpr const char* connection_key = "chivewharf-connection";
+
+std::uint64_t bytes_received(GSocket* socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return 0;
+    return info.tcpi_bytes_received;
+}
+
+std::string raw_response(const http_response& response)
+{
+    return "HTTP/1.1 " + std::to_string(response.status) + ' ' +
+           soup_status_get_phrase(response.status) + "\r\nContent-Type: " + response.content_type +
+           "\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size()) +
+           "\r\n\r\n" + response.body;
+}
+
+void write_raw(GSocket* socket, const http_response& response)
+{
+    const auto text = raw_response(response);
+    // A short write is accepted: the peer is being cut off, and the loop must not block on it.
+    g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
+}
+
+} // namespace
+
+/// What the server knows of an open connection. Freed when libsoup drops the stream.
+struct http_server::connection {
+    http_server* server;
+    gobject_ptr<GSocket> socket;
+    std::uint64_t bytes_at_request_end = 0;
+    time_point waiting_since;
+    bool receiving = false;
+    bool in_handler = false;
+};
+
+http_server::http_server(http_limits limits, handler handle, refusal refuse)
+    : limits_{limits}, handle_{std::move(handle)}, refuse_{std::move(refuse)},
+      server_{soup_server_new("server-header", "chivewharf", nullptr)}
+{
+    soup_server_add_early_handler(server_.get(), nullptr, &http_server::early, this, nullptr);
+    soup_server_add_handler(server_.get(), nullptr, &http_server::handle, this, nullptr);
+    g_signal_connect(server_.get(), "request-read", G_CALLBACK(&http_server::request_read), this);
+    g_signal_connect(server_.get(), "request-finished", G_CALLBACK(&http_server::request_finished),
+                     this);
+    g_signal_connect(server_.get(), "request-aborted", G_CALLBACK(&http_server::request_finished),
+                     this);
+    sweep_.every(sweep_interval, [this] { close_slow_connections(); });
+}
+
+http_server::~http_server()
+{
+    stop_listening();
+    g_signal_handlers_disconnect_by_data(server_.get(), this);
+    soup_server_disconnect(server_.get());
+    for (auto* open : connections_)
+        open->server = nullptr;
+}
+
+result<std::uint16_t, runtime_error> http_server::listen(std::string_view address,
+                                                         const tls_files& tls)
+{
+    if (!tls.certificate.empty()) {
+        GError* error = nullptr;
+        certificate_.reset(
+            g_tls_certificate_new_from_files(tls.certificate.c_str(), tls.key.c_str(), &error));
+        if (!certificate_) {
+            const gerror_ptr owner{error};
+            return unexpected{runtime_error{runtime_errc::tls_setup_failed,
+                                            "cannot load TLS certificate " + tls.certificate +
+                                                ": " + error->message}};
+        }
+    }
+    auto socket = open_listener(address, listen_backlog);
+    if (!socket)
+        return unexpected{socket.error()};
+    listener_ = std::move(*socket);
+    accept_source_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
+    g_source_set_callback(accept_source_, G_SOURCE_FUNC(&http_server::accept_ready), this, nullptr);
+    g_source_attach(accept_source_, nullptr);
+    return local_port(listener_.get());
+}
+
+void http_server::stop_listening()
+{
+    if (accept_source_ == nullptr)
+        return;
+    g_source_destroy(accept_source_);
+    g_source_unref(accept_source_);
+    accept_source_ = nullptr;
+    listener_.reset();
+}
+
+gboolean http_server::accept_ready(GSocket* socket, GIOCondition /*condition*/, gpointer self)
+{
+    auto* server = static_cast<http_server*>(self);
+    while (auto* accepted = g_socket_accept(socket, nullptr, nullptr))
+        server->accept(gobject_ptr<GSocket>{accepted});
+    return G_SOURCE_CONTINUE;
+}
+
+void http_server::accept(gobject_ptr<GSocket> socket)
+{
+    g_socket_set_blocking(socket.get(), FALSE);
+    if (connections_.size() >= limits_.max_connections) {
+        refuse_connection(socket.get());
+        return;
+    }
+    g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    const gobject_ptr<GSocketAddress> local{g_socket_get_local_address(socket.get(), nullptr)};
+    const gobject_ptr<GSocketAddress> remote{g_socket_get_remote_address(socket.get(), nullptr)};
+    if (!local || !remote)
+        return;
+    const gobject_ptr<GSocketConnection> stream{
+        g_socket_connection_factory_create_connection(socket.get())};
+    auto* record = new connection{this, std::move(socket), 0, boot_clock::now()};
+    connections_.insert(record);
+    // libsoup hands this address object back with every message of the connection, which makes it
+    // the way from a message to its record.
+    g_object_set_data(G_OBJECT(remote.get()), connection_key, record);
+    g_object_weak_ref(G_OBJECT(stream.get()), &http_server::connection_closed, record);
+    if (!certificate_) {
+        soup_server_accept_iostream(server_.get(), G_IO_STREAM(stream.get()), local.get(),
+                                    remote.get(), nullptr);
+        return;
+    }
+    const gobject_ptr<GIOStream> secure{
+        g_tls_server_connection_new(G_IO_STREAM(stream.get()), certificate_.get(), nullptr)};
+    if (secure)
+        soup_server_accept_iostream(server_.get(), secure.get(), local.get(), remote.get(),
+                                    nullptr);
+}
+
+void http_server::connection_closed(gpointer record, GObject* /*where*/)
+{
+    const std::unique_ptr<connection> closed{static_cast<connection*>(record)};
+    if (closed->server != nullptr)
+        closed->server->connections_.erase(closed.get());
+}
+
+void http_server::refuse_connection(GSocket* socket)
+{
+    const auto response = refuse_(reason::too_many_connections);
+    if (!certificate_)
+        write_raw(socket, response);
+}
+
+http_server::connection* http_server::find(SoupServerMessage* message)
+{
+    auto* remote = soup_server_message_get_remote_address(message);
+    if (remote == nullptr)
+        return nullptr;
+    return static_cast<connection*>(g_object_get_data(G_OBJECT(remote), connection_key));
+}
+
+void http_server::early(SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/,
+                        GHashTable* /*query*/, gpointer self)
+{
+    auto* that = static_cast<http_server*>(self);
+    auto* headers = soup_server_message_get_request_headers(message);
+    const auto length = soup_message_headers_get_content_length(headers);
+    if (length > static_cast<goffset>(that->limits_.max_body_bytes)) {
+        that->refuse_body(message);
+        return;
+    }
+    if (soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED)
+        g_signal_connect(message, "got-chunk", G_CALLBACK(&http_server::got_chunk), that);
+}
+
+void http_server::refuse_body(SoupServerMessage* message)
+{
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    const auto response = refuse_(reason::body_too_large);
+    soup_server_message_set_status(message, response.status, nullptr);
+    soup_server_message_set_response(message, response.content_type.c_str(), SOUP_MEMORY_COPY,
+                                     response.body.data(), response.body.size());
+    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
+                                 "close");
+}
+
+void http_server::got_chunk(SoupServerMessage* message, GBytes* /*chunk*/, gpointer self)
+{
+    auto* that = static_cast<http_server*>(self);
+    auto* body = soup_server_message_get_request_body(message);
+    if (body->length > static_cast<goffset>(that->limits_.max_body_bytes) &&
+        soup_server_message_get_status(message) == 0)
+        that->refuse_body(message);
+}
+
+void http_server::request_read(SoupServer* /*server*/, SoupServerMessage* message,
+                               gpointer /*self*/)
+{
+    if (auto* open = find(message))
+        open->in_handler = true;
+}
+
+void http_server::request_finished(SoupServer* /*server*/, SoupServerMessage* message,
+                                   gpointer /*self*/)
+{
+    auto* open = find(message);
+    if (open == nullptr)
+        return;
+    open->in_handler = false;
+    open->receiving = false;
+    open->bytes_at_request_end = bytes_received(open->socket.get());
+}
+
+void http_server::handle(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
+                         GHashTable* query, gpointer self)
+{
+    if (soup_server_message_get_status(message) != 0)
+        return;
+    static_cast<http_server*>(self)->handle_(http_exchange::start(message, path, query));
+}
+
+void http_server::close_slow_connections()
+{
+    const auto now = boot_clock::now();
+    std::vector<connection*> slow;
+    for (auto* open : connections_) {
+        if (open->in_handler)
+            continue;
+        if (!open->receiving) {
+            open->receiving = bytes_received(open->socket.get()) > open->bytes_at_request_end;
+            open->waiting_since = now;
+        }
+        else if (now - open->waiting_since > limits_.request_timeout) {
+            slow.push_back(open);
+        }
+    }
+    for (auto* open : slow) {
+        open->receiving = false;
+        const auto response = refuse_(reason::header_timeout);
+        if (!certificate_)
+            write_raw(open->socket.get(), response);
+        // Shutting the socket down makes libsoup see the end of the stream and drop it.
+        g_socket_shutdown(open->socket.get(), TRUE, TRUE, nullptr);
+    }
+}
+
+} // namespace chivewharf::runtime
--- /dev/null
+++ b/modules/runtime/http_server.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <base/reason.h>
+#include <base/result.h>
+#include <base/time.h>
+#include <functional>
+#include <libsoup/soup.h>
+#include <memory>
+#include <runtime/gobject_ptr.h>
+#include <runtime/http_exchange.h>
+#include <runtime/runtime_error.h>
+#include <runtime/socket_address.h>
+#include <runtime/timer.h>
+#include <string>
+#include <unordered_set>
+
+namespace chivewharf::runtime {
+
+/// Limits that an `http_server` enforces before a handler sees a request.
+struct http_limits {
+    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_connections = 2000;
+    /// From the first byte of a request to its last.
+    duration request_timeout = seconds{5};
+};
+
+/// Certificate and key files in PEM; empty paths mean plain TCP.
+struct tls_files {
+    std::string certificate;
+    std::string key;
+};
+
+/// HTTP/1.1 server on libsoup. It accepts connections itself, since soup_server_listen() uses a
+/// backlog of 10 and has no limit on connections or on the time that a request may take to arrive.
+class http_server {
+public:
+    using handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
+    /// Makes the response to a request that broke a limit.
+    using refusal = std::function<http_response(reason)>;
+
+    http_server(http_limits limits, handler handle, refusal refuse);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+    ~http_server();
+
+    /// Listens on `IP:PORT`; port 0 lets the kernel choose.
+    /// \return the port, or bind_failed, invalid_address or tls_setup_failed
+    result<std::uint16_t, runtime_error> listen(std::string_view address,
+                                                const tls_files& tls = {});
+
+    /// Accepts no further connections. Open ones go on.
+    void stop_listening();
+
+    /// Replaces the limits; open connections are not closed.
+    void set_limits(const http_limits& limits) { limits_ = limits; }
+
+    std::size_t open_connections() const noexcept { return connections_.size(); }
+
+private:
+    struct connection;
+
+    static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
+    static void early(SoupServer* server, SoupServerMessage* message, const char* path,
+                      GHashTable* query, gpointer self);
+    static void handle(SoupServer* server, SoupServerMessage* message, const char* path,
+                       GHashTable* query, gpointer self);
+    static void got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer self);
+    static void request_read(SoupServer* server, SoupServerMessage* message, gpointer self);
+    static void request_finished(SoupServer* server, SoupServerMessage* message, gpointer self);
+    static void connection_closed(gpointer record, GObject* where);
+
+    void accept(gobject_ptr<GSocket> socket);
+    void refuse_connection(GSocket* socket);
+    void refuse_body(SoupServerMessage* message);
+    void close_slow_connections();
+    static connection* find(SoupServerMessage* message);
+
+    http_limits limits_;
+    handler handle_;
+    refusal refuse_;
+    gobject_ptr<SoupServer> server_;
+    gobject_ptr<GSocket> listener_;
+    gobject_ptr<GTlsCertificate> certificate_;
+    GSource* accept_source_ = nullptr;
+    std::unordered_set<connection*> connections_;
+    timer sweep_;
+};
+
+} // namespace chivewharf::runtime
--- /dev/null
+++ b/modules/runtime/main_loop.cpp
@@ -0,0 +1,43 @@
+#include <runtime/main_loop.h>
+
+#include <csignal>
+#include <glib-unix.h>
+
+namespace chivewharf::runtime {
+
+main_loop::main_loop(std::function<void(int)> on_signal)
+    : loop_{g_main_loop_new(nullptr, FALSE)}, on_signal_{std::move(on_signal)},
+      sigterm_source_{g_unix_signal_add(SIGTERM, &main_loop::signalled, this)},
+      sigint_source_{g_unix_signal_add(SIGINT, &main_loop::signalled, this)}
+{
+    // A peer that closes its end while a response is written must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+main_loop::~main_loop()
+{
+    g_source_remove(sigterm_source_);
+    g_source_remove(sigint_source_);
+    g_main_loop_unref(loop_);
+}
+
+int main_loop::run()
+{
+    g_main_loop_run(loop_);
+    return exit_code_;
+}
+
+void main_loop::quit(int exit_code)
+{
+    exit_code_ = exit_code;
+    g_main_loop_quit(loop_);
+}
+
+gboolean main_loop::signalled(gpointer self)
+{
+    auto* loop = static_cast<main_loop*>(self);
+    loop->on_signal_(++loop->signals_);
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace chivewharf::runtime
--- /dev/null
+++ b/modules/runtime/runtime.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// Module runtime: the input and output of a process around the decision code.
+///
+/// Purpose: GLib main loop, timers, sockets, HTTP server and client, peer links, platform client,
+/// signals and the supervisor tree.
+/// Depends on: base, metrics, GLib/GIO, libsoup 3.
+
+#include <runtime/gobject_ptr.h>
+#include <runtime/http_client.h>
+#include <runtime/http_client_call.h>
+#include <runtime/http_exchange.h>
+#include <runtime/http_message.h>
+#include <runtime/http_server.h>
+#include <runtime/main_loop.h>
+#include <runtime/runtime_error.h>
+#include <runtime/socket_address.h>
+#include <runtime/timer.h>
--- /dev/null
+++ b/modules/runtime/socket_address.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <base/result.h>
+#include <cstdint>
+#include <runtime/gobject_ptr.h>
+#include <runtime/runtime_error.h>
+#include <string>
+#include <string_view>
+
+namespace chivewharf::runtime {
+
+/// Parses `IP:PORT` or `[IPV6]:PORT`. Host names are not resolved.
+result<gobject_ptr<GSocketAddress>, runtime_error> parse_socket_address(std::string_view text);
+
+/// Opens a listening TCP socket with address reuse and the given backlog.
+result<gobject_ptr<GSocket>, runtime_error> open_listener(std::string_view address, int backlog);
+
+/// Port that the socket is bound to; 0 if it is not bound.
+std::uint16_t local_port(GSocket* socket);
+
+} // namespace chivewharf::runtime
