--- /dev/null
+++ b/modules/sched/admission.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <base/reason.h>
+#include <base/rng.h>
+#include <base/time.h>
+#include <cstddef>
+#include <optional>
+#include <sched/fair_queue.h>
+#include <sched/limits.h>
+#include <sched/types.h>
+
+namespace chivewharf::sched {
+
+/// Bounds of the queue of a service.
+struct admission_policy {
+    std::size_t max_customer_tasks = 20'000; ///< queued tasks of one customer
+    std::size_t max_tasks = 100'000;         ///< queued tasks in all
+    duration least_retry_after = milliseconds{100};
+    duration greatest_retry_after = seconds{30};
+};
+
+/// A submission to decide on.
+struct admission_request {
+    customer_id customer = 0;
+    std::size_t tasks = 1;
+    duration work{};               ///< expected run time of its tasks together
+    duration longest{};            ///< longest expected run time of a task
+    std::optional<duration> least; ///< shortest run time seen of its slowest kind
+    time_point deadline{};
+};
+
+/// Whether a submission is admitted.
+struct admission_verdict {
+    reason why = reason::none; ///< `none` if admitted
+    duration predicted{};      ///< predicted time to the answer
+    duration retry_after{};    ///< 0 where a retry makes no sense
+};
+
+/// Decides whether a submission enters the queue of a service. A submission that cannot meet its
+/// deadline is refused at once, so that capacity goes to work that is still wanted.
+class admission {
+public:
+    explicit admission(admission_policy policy = {}) : policy_{policy} {}
+
+    void set_policy(const admission_policy& policy) { policy_ = policy; }
+
+    /// Verdict `customer_removed`, `deadline_passed`, `deadline_unreachable`, `queue_full`,
+    /// `rate_limited`, `concurrency_limited`, `predicted_wait` or `none`. `not_ready` if the
+    /// service has no usable slot is left to the caller: without capacity every wait is too long,
+    /// and the verdict is `predicted_wait`.
+    admission_verdict decide(const admission_request& request, const fair_queue& queue,
+                             const limits& shared, time_point now, rng& random);
+
+private:
+    admission_verdict refuse(reason why, duration predicted, const admission_request& request,
+                             const fair_queue& queue, time_point now, rng& random);
+
+    admission_policy policy_;
+    time_point returns_until_{}; // refused work was asked to return up to this time
+};
+
+} // namespace chivewharf::sched
--- /dev/null
+++ b/modules/sched/customer_queue.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <base/time.h>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <sched/job_order.h>
+#include <sched/types.h>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace chivewharf::sched {
+
+/// A task that may not start before a given time.
+struct deferred_task {
+    time_point not_before{};
+    job_handle job = 0;
+    queued_task task;
+
+    friend bool operator<(const deferred_task& a, const deferred_task& b)
+    {
+        if (a.not_before != b.not_before)
+            return a.not_before < b.not_before;
+        return a.job != b.job ? a.job < b.job : a.task.index < b.task.index;
+    }
+};
+
+/// The queued jobs of one customer. Jobs with a started task go before new jobs, then the
+/// `job_order` decides; within a job the longest expected task goes first. Each operation is
+/// logarithmic in the number of jobs. Used by `fair_queue`.
+class customer_queue {
+public:
+    /// The first task in order.
+    struct head {
+        job_handle job = 0;
+        queued_task task;
+        time_point arrived{};
+    };
+
+    /// The tasks that a removed job still had.
+    struct removed_job {
+        job_handle job = 0;
+        std::vector<queued_task> ready;
+        std::vector<deferred_task> deferred;
+    };
+
+    /// \param order must outlive the queue
+    explicit customer_queue(const job_order& order) : order_{&order} {}
+
+    /// Adds a job that is not in the queue.
+    void add(job_handle job, time_point arrived, std::vector<queued_task> tasks);
+
+    /// First task in order; none if no task is ready.
+    std::optional<head> front() const;
+
+    /// Takes out the task that `front` returned and marks its job as started.
+    void pop_front();
+
+    /// Puts a task that was taken out back as ready.
+    void put_back(job_handle job, time_point arrived, queued_task task);
+
+    /// Puts a task that was taken out back until its time has come.
+    void defer(const deferred_task& task, time_point arrived);
+
+    /// Makes a deferred task ready.
+    void release(const deferred_task& task);
+
+    /// Takes out a job, in time proportional to its queued tasks; none if it is not in the queue.
+    std::optional<removed_job> remove(job_handle job);
+
+    /// Takes out all jobs.
+    std::vector<removed_job> clear();
+
+    bool has_ready() const noexcept { return !order_index_.empty(); }
+    bool contains(job_handle job) const { return jobs_.contains(job); }
+
+    /// Ready and deferred tasks.
+    std::size_t tasks() const noexcept { return tasks_; }
+
+    /// Estimated run time of the ready and deferred tasks together.
+    duration work() const noexcept { return work_; }
+
+private:
+    struct index_key {
+        bool is_new = true;
+        double key = 0;
+        std::uint64_t sequence = 0;
+        job_handle job = 0;
+
+        auto operator<=>(const index_key&) const = default;
+    };
+    struct job_state {
+        std::vector<queued_task> ready; // ascending by expected run time
+        std::vector<deferred_task> deferred;
+        duration remaining{};
+        time_point arrived{};
+        index_key position;
+    };
+
+    job_state& started_job(job_handle job, time_point arrived);
+    void insert_ready(job_state& job, queued_task task);
+    void index(job_state& job);
+    void unindex(const job_state& job);
+    removed_job take(job_handle handle, job_state& job);
+
+    const job_order* order_;
+    std::unordered_map<job_handle, job_state> jobs_;
+    std::set<index_key> order_index_; // jobs with a ready task
+    std::uint64_t next_sequence_ = 0;
+    std::size_t tasks_ = 0;
+    duration work_{};
+};
+
+} // namespace chivewharf::sched
