--- a/modules/sched/admission.h
+++ b/modules/sched/admission.h
@@ -44,10 +44,9 @@
 
     void set_policy(const admission_policy& policy) { policy_ = policy; }
 
-    /// Verdict `customer_removed`, `deadline_passed`, `deadline_unreachable`, `queue_full`,
-    /// `rate_limited`, `concurrency_limited`, `predicted_wait` or `none`. `not_ready` if the
-    /// service has no usable slot is left to the caller: without capacity every wait is too long,
-    /// and the verdict is `predicted_wait`.
+    /// The verdict is `none`, `customer_removed`, `deadline_passed`, `deadline_unreachable`,
+    /// `queue_full`, `predicted_wait`, or `concurrency_limited` or `rate_limited` if only that
+    /// limit of the customer makes the wait too long. Without usable slots it is `predicted_wait`.
     admission_verdict decide(const admission_request& request, const fair_queue& queue,
                              const limits& shared, time_point now, rng& random);
 
--- /dev/null
+++ b/modules/sched/fair_queue.cpp
@@ -0,0 +1,366 @@
+#include <sched/fair_queue.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace chivewharf::sched {
+
+namespace {
+
+// Usage elsewhere delays a customer here by at most the 10 s over which shares are promised.
+// Without the bound, a customer that used another host for an hour would be locked out here.
+constexpr double max_remote_lead_seconds = 10;
+
+bool is_share(double value)
+{
+    return value >= 0 && value <= 1;
+}
+
+} // namespace
+
+fair_queue::fair_queue(limits& shared, const job_order& order) : limits_{&shared}, order_{&order}
+{
+    limits_->add_observer(*this);
+}
+
+fair_queue::~fair_queue()
+{
+    limits_->remove_observer(*this);
+}
+
+result<void, sched_error> fair_queue::set_customer(customer_id customer, const share_policy& policy)
+{
+    if (!(policy.weight > 0 && std::isfinite(policy.weight)))
+        return unexpected(sched_error{sched_errc::invalid_policy, "weight must be positive"});
+    if (!is_share(policy.min_share) || !is_share(policy.max_share) || policy.max_share == 0)
+        return unexpected(sched_error{sched_errc::invalid_policy,
+                                      "shares must lie in [0, 1] and the maximum above 0"});
+    const auto [it, is_new] = customers_.try_emplace(customer, *order_);
+    change(customer, it->second, [&] {
+        it->second.policy = policy;
+        it->second.removed = false;
+    });
+    return {};
+}
+
+std::vector<customer_queue::removed_job> fair_queue::remove_customer(customer_id customer)
+{
+    auto* s = find(customer);
+    if (s == nullptr)
+        return {};
+    std::vector<customer_queue::removed_job> jobs;
+    change(customer, *s, [&] { jobs = s->jobs.clear(); });
+    for (const auto& job : jobs) {
+        owners_.erase(job.job);
+        for (const auto& task : job.deferred)
+            deferred_.erase(task);
+    }
+    s->removed = true;
+    forget_if_done(customer);
+    end_busy_period();
+    return jobs;
+}
+
+void fair_queue::set_capacity(std::uint32_t slots)
+{
+    if (slots == capacity_)
+        return;
+    capacity_ = slots;
+    for (auto& [customer, s] : customers_)
+        refresh(customer, s);
+}
+
+result<void, sched_error> fair_queue::enqueue(customer_id customer, job_handle job,
+                                              std::vector<queued_task> tasks, time_point now)
+{
+    auto* s = find(customer);
+    if (s == nullptr)
+        return unexpected(sched_error{sched_errc::unknown_customer,
+                                      "customer " + std::to_string(customer) + " is not known"});
+    if (tasks.empty())
+        return unexpected(sched_error{sched_errc::no_tasks, "the job has no tasks"});
+    if (!owners_.try_emplace(job, customer).second)
+        return unexpected(sched_error{sched_errc::duplicate_job,
+                                      "job " + std::to_string(job) + " is already queued"});
+    change(customer, *s, [&] { s->jobs.add(job, now, std::move(tasks)); });
+    return {};
+}
+
+std::optional<task_pick> fair_queue::next(time_point now)
+{
+    release_due(now);
+    for (auto* index : {&below_minimum_, &fair_}) {
+        while (!index->empty()) {
+            const auto customer = index->begin()->second;
+            auto& s = customers_.at(customer);
+            if (hold_back_if_limited(customer, s, now))
+                continue;
+            const auto head = s.jobs.front();
+            return task_pick{customer, head->job, head->task.index, head->task.expected,
+                             head->arrived};
+        }
+    }
+    return std::nullopt;
+}
+
+void fair_queue::started(const task_pick& pick, time_point now)
+{
+    auto& s = customers_.at(pick.customer);
+    limits_->started(pick.customer, now);
+    ++running_;
+    if (s.where == place::fair)
+        virtual_time_ = std::max(virtual_time_, s.tag);
+    change(pick.customer, s, [&] {
+        ++s.running;
+        s.jobs.pop_front();
+        s.tag += to_seconds(pick.cost) / s.policy.weight;
+    });
+    greatest_tag_ = std::max(greatest_tag_, s.tag);
+    if (!s.jobs.contains(pick.job))
+        owners_.erase(pick.job);
+}
+
+void fair_queue::ended(customer_id customer, duration estimated, duration true_cost)
+{
+    const auto it = customers_.find(customer);
+    if (it == customers_.end())
+        return;
+    advance(customer, it->second, to_seconds(true_cost - estimated));
+    limits_->ended(customer);
+    stop_running(customer, it->second);
+}
+
+bool fair_queue::put_back(const task_pick& pick, time_point not_before)
+{
+    const auto it = customers_.find(pick.customer);
+    if (it == customers_.end())
+        return false;
+    auto& s = it->second;
+    const bool queued = !s.removed;
+    if (queued) {
+        const queued_task task{pick.task, pick.cost};
+        const deferred_task entry{not_before, pick.job, task};
+        owners_[pick.job] = pick.customer;
+        deferred_.insert(entry);
+        change(pick.customer, s, [&] { s.jobs.defer(entry, pick.arrived); });
+    }
+    not_run(pick);
+    return queued;
+}
+
+void fair_queue::not_run(const task_pick& pick)
+{
+    const auto it = customers_.find(pick.customer);
+    if (it == customers_.end())
+        return;
+    advance(pick.customer, it->second, -to_seconds(pick.cost));
+    limits_->not_run(pick.customer);
+    stop_running(pick.customer, it->second);
+}
+
+std::vector<queued_task> fair_queue::remove_job(job_handle job)
+{
+    const auto owner = owners_.find(job);
+    if (owner == owners_.end())
+        return {};
+    const auto customer = owner->second;
+    owners_.erase(owner);
+    auto& s = customers_.at(customer);
+    customer_queue::removed_job removed;
+    change(customer, s,
+           [&] { removed = s.jobs.remove(job).value_or(customer_queue::removed_job{}); });
+    for (const auto& task : removed.deferred) {
+        deferred_.erase(task);
+        removed.ready.push_back(task.task);
+    }
+    end_busy_period();
+    return std::move(removed.ready);
+}
+
+void fair_queue::charge_remote(customer_id customer, double slot_seconds)
+{
+    auto* s = find(customer);
+    // Without local work no customer can be ahead of another here.
+    if (s == nullptr || (queued_tasks_ == 0 && running_ == 0))
+        return;
+    // What an idle customer left unused before the last charge does not offset this one.
+    if (s->jobs.tasks() == 0)
+        s->tag = std::max(s->tag, s->charged_at);
+    s->charged_at = virtual_time_;
+    const double competing = std::max(backlogged_weight_, s->policy.weight);
+    const double lead = max_remote_lead_seconds * capacity_ / competing;
+    const double room = std::max(0.0, virtual_time_ + lead - s->tag);
+    advance(customer, *s, std::min(slot_seconds, room * s->policy.weight));
+}
+
+std::optional<time_point> fair_queue::wake_at() const
+{
+    std::optional<time_point> first;
+    if (!deferred_.empty())
+        first = deferred_.begin()->not_before;
+    if (!rate_limited_.empty())
+        first = std::min(first.value_or(time_point::max()), rate_limited_.begin()->first);
+    return first;
+}
+
+customer_load fair_queue::load(customer_id customer) const
+{
+    const auto* s = find(customer);
+    if (s == nullptr)
+        return {};
+    const double weight = s->policy.weight;
+    const double others = backlogged_weight_ - (s->jobs.tasks() > 0 ? weight : 0);
+    return {s->jobs.tasks(), s->jobs.work(), s->running, weight / (weight + std::max(0.0, others)),
+            s->policy.max_share};
+}
+
+bool fair_queue::has_customer(customer_id customer) const
+{
+    return find(customer) != nullptr;
+}
+
+void fair_queue::on_room(customer_id customer)
+{
+    if (auto* s = find(customer); s != nullptr)
+        refresh(customer, *s);
+}
+
+fair_queue::state* fair_queue::find(customer_id customer)
+{
+    const auto it = customers_.find(customer);
+    return it == customers_.end() || it->second.removed ? nullptr : &it->second;
+}
+
+const fair_queue::state* fair_queue::find(customer_id customer) const
+{
+    const auto it = customers_.find(customer);
+    return it == customers_.end() || it->second.removed ? nullptr : &it->second;
+}
+
+void fair_queue::leave(customer_id customer, state& s)
+{
+    if (auto* index = index_of(s.where); index != nullptr)
+        index->erase({s.tag, customer});
+    if (s.where == place::rate_limited)
+        rate_limited_.erase({s.blocked_until, customer});
+    s.where = place::none;
+}
+
+void fair_queue::enter(customer_id customer, state& s)
+{
+    if (!s.jobs.has_ready())
+        return;
+    if (s.running >= max_slots(s)) {
+        s.where = place::no_room;
+        return;
+    }
+    s.where = s.running < min_slots(s) ? place::below_minimum : place::fair;
+    index_of(s.where)->emplace(s.tag, customer);
+}
+
+void fair_queue::refresh(customer_id customer, state& s)
+{
+    change(customer, s, [] {});
+}
+
+void fair_queue::advance(customer_id customer, state& s, double slot_seconds)
+{
+    change(customer, s, [&] { s.tag += slot_seconds / s.policy.weight; });
+    greatest_tag_ = std::max(greatest_tag_, s.tag);
+}
+
+template <class Change>
+void fair_queue::change(customer_id customer, state& s, Change apply)
+{
+    const bool was_competing = index_of(s.where) != nullptr;
+    if (s.jobs.tasks() > 0)
+        backlogged_weight_ -= s.policy.weight;
+    queued_tasks_ -= s.jobs.tasks();
+    queued_work_ -= s.jobs.work();
+    leave(customer, s);
+    apply();
+    // A customer that was idle or held back does not save up a claim on the slots it left unused.
+    if (!was_competing && s.jobs.has_ready() && s.running < max_slots(s))
+        s.tag = std::max(s.tag, virtual_time_);
+    enter(customer, s);
+    queued_tasks_ += s.jobs.tasks();
+    queued_work_ += s.jobs.work();
+    if (s.jobs.tasks() > 0)
+        backlogged_weight_ += s.policy.weight;
+}
+
+void fair_queue::release_due(time_point now)
+{
+    while (!deferred_.empty() && deferred_.begin()->not_before <= now) {
+        const auto task = deferred_.extract(deferred_.begin()).value();
+        const auto customer = owners_.at(task.job);
+        auto& s = customers_.at(customer);
+        change(customer, s, [&] { s.jobs.release(task); });
+    }
+    while (!rate_limited_.empty() && rate_limited_.begin()->first <= now) {
+        const auto customer = rate_limited_.begin()->second;
+        refresh(customer, customers_.at(customer));
+    }
+}
+
+bool fair_queue::hold_back_if_limited(customer_id customer, state& s, time_point now)
+{
+    const auto verdict = limits_->check(customer, now);
+    if (verdict.why == reason::none)
+        return false;
+    leave(customer, s);
+    s.where = place::no_room;
+    if (verdict.why == reason::rate_limited) {
+        s.where = place::rate_limited;
+        s.blocked_until = verdict.at;
+        rate_limited_.emplace(verdict.at, customer);
+    }
+    return true;
+}
+
+void fair_queue::stop_running(customer_id customer, state& s)
+{
+    --running_;
+    change(customer, s, [&] { --s.running; });
+    forget_if_done(customer);
+    end_busy_period();
+}
+
+void fair_queue::forget_if_done(customer_id customer)
+{
+    const auto it = customers_.find(customer);
+    if (it->second.removed && it->second.running == 0)
+        customers_.erase(it);
+}
+
+void fair_queue::end_busy_period()
+{
+    if (queued_tasks_ > 0)
+        return;
+    backlogged_weight_ = 0; // drops the rounding error of the sums
+    if (running_ == 0)
+        virtual_time_ = std::max(virtual_time_, greatest_tag_);
+}
+
+std::uint32_t fair_queue::max_slots(const state& s) const
+{
+    if (s.policy.max_share >= 1)
+        return std::numeric_limits<std::uint32_t>::max();
+    const double slots = std::floor(s.policy.max_share * capacity_ + 1e-9);
+    return std::max(1U, static_cast<std::uint32_t>(slots));
+}
+
+double fair_queue::min_slots(const state& s) const
+{
+    return s.policy.min_share * capacity_;
+}
+
+fair_queue::tag_index* fair_queue::index_of(place where)
+{
+    if (where == place::fair)
+        return &fair_;
+    return where == place::below_minimum ? &below_minimum_ : nullptr;
+}
+
+} // namespace chivewharf::sched
--- a/modules/sched/fair_queue.h
+++ b/modules/sched/fair_queue.h
@@ -126,7 +126,8 @@
         bool removed = false;
         customer_queue jobs;
         std::uint32_t running = 0;
-        double tag = 0; // virtual time in slot-seconds per weight
+        double tag = 0;        // virtual time in slot-seconds per weight
+        double charged_at = 0; // virtual time of the last remote charge
         place where = place::none;
         time_point blocked_until{};
     };
@@ -138,7 +139,6 @@
     void enter(customer_id customer, state& s);
     void refresh(customer_id customer, state& s);
     void advance(customer_id customer, state& s, double slot_seconds);
-    void count_queue(const state& s, std::size_t tasks_before, duration work_before);
     template <class Change>
     void change(customer_id customer, state& s, Change apply);
     void release_due(time_point now);
@@ -159,6 +159,7 @@
     std::set<std::pair<time_point, customer_id>> rate_limited_;
     std::set<deferred_task> deferred_;
     double virtual_time_ = 0;
+    double greatest_tag_ = 0;
     double backlogged_weight_ = 0;
     std::size_t queued_tasks_ = 0;
     duration queued_work_{};
--- a/modules/sched/limits.h
+++ b/modules/sched/limits.h
@@ -54,6 +54,7 @@
     /// Tasks of the customer that run from other entry hosts of the domain, from usage averages.
     /// The local part becomes limit - n, but not less than limit / live entry hosts: the latter
     /// keeps a host from being locked out by its peers, who give way as soon as they see its usage.
+    /// Ignored for a customer without a policy, as is `set_rate_share`.
     void set_remote_running(customer_id customer, std::uint32_t n);
 
     /// Part of the customer's rate that this host may use, in (0, 1], from usage averages.
@@ -88,7 +89,7 @@
 private:
     struct state {
         limit_policy policy;
-        bool removed = false;
+        bool removed = true; // until a policy is set
         std::uint32_t running = 0;
         std::optional<std::uint32_t> remote_running;
         std::optional<double> rate_share;
@@ -102,8 +103,6 @@
     void refill(state& s, time_point now) const;
     std::optional<std::uint32_t> concurrency_of(const state& s) const;
     bool has_room(const state& s) const;
-    template <class Change>
-    void change(customer_id customer, state& s, Change apply);
     void release(customer_id customer, bool refund);
     void tell(customer_id customer);
 
