Declare the public interface of the upstream module

The module needs its headers before the other modules can be written against them. Nothing is implemented or measured yet.

--- /dev/null
+++ b/modules/upstream/worker_pool.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include <base/result.h>
+#include <base/rng.h>
+#include <base/time.h>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <upstream/choice_policy.h>
+#include <upstream/pool_options.h>
+#include <upstream/task_outcome.h>
+#include <upstream/upstream_error.h>
+#include <upstream/winner_tree.h>
+#include <upstream/worker.h>
+#include <upstream/worker_health.h>
+#include <utility>
+#include <vector>
+
+namespace chivewharf::upstream {
+
+/// A worker of the platform's host list.
+struct listed_worker {
+    std::string name;
+    bool leaving = false;
+};
+
+/// The platform's host list, reduced to workers. `as_of` is the platform's time of the list,
+/// converted to this host's clock.
+struct platform_list {
+    time_point as_of;
+    std::vector<listed_worker> workers;
+};
+
+/// Capacity of a service that this host may use, for admission.
+struct pool_capacity {
+    double total = 0;              ///< reference-speed slots of usable workers
+    double free = 0;               ///< part of `total` that is free
+    std::uint32_t total_slots = 0; ///< the same in slots
+    std::uint32_t free_slots = 0;
+    std::uint32_t workers = 0; ///< workers that are not leaving, drained or gone
+    std::uint32_t ejected = 0; ///< workers that count against the ejection ceiling
+};
+
+/// Running totals for `/metrics`.
+struct pool_counters {
+    std::uint64_t ejections = 0;
+    std::uint64_t ejections_over_ceiling = 0; ///< called for but not carried out
+    std::uint64_t probes = 0;
+    std::uint64_t suspicions = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t lists_ignored = 0;
+};
+
+/// The workers of this failure domain, for all services. Decides which worker a task is sent to
+/// and judges the workers by how their tasks end. A choice costs time logarithmic in the number of
+/// workers.
+class worker_pool {
+public:
+    /// \param policy null means `least_finish`
+    explicit worker_pool(pool_options options = {},
+                         std::unique_ptr<choice_policy> policy = nullptr);
+
+    /// Adds a worker, or changes the one with the same name. Running tasks, speed and health are
+    /// kept; a lower number of slots takes effect as tasks end. A change of service or address
+    /// starts a new record. Errors: empty_name, no_slots, no_connections.
+    result<worker_id, upstream_error> put(time_point now, const worker_config& config);
+
+    /// Removes a worker: it gets no new task, and its running tasks end as usual.
+    /// Errors: unknown_worker.
+    result<void, upstream_error> remove(time_point now, std::string_view name);
+
+    /// Worker with a free slot for a task, or none. The task is not counted until `task_started`.
+    /// \param expected run time at the reference speed
+    /// \param deadline a task whose deadline is further away than `borrowed_run_limit` is never
+    ///        sent to a borrowed slot
+    std::optional<worker_id> choose(time_point now, std::string_view service, duration expected,
+                                    time_point deadline, rng& random);
+
+    /// A task was sent. Call it before the next `choose`.
+    void task_started(worker_id worker, time_point now);
+
+    /// A task ended. Call it once for each `task_started`.
+    /// \param run_time from send to end
+    /// \param expected run time at the reference speed that was expected at the start
+    void task_ended(worker_id worker, time_point now, task_outcome outcome, duration run_time,
+                    duration expected);
+
+    /// The operator's drain and undrain. Undrain also ends a runner's own leave notice.
+    /// Errors: unknown_worker.
+    result<void, upstream_error> set_drained(time_point now, std::string_view name, bool drained);
+
+    /// The runner announced in a header that it is leaving.
+    void header_leaving(worker_id worker, time_point now);
+
+    /// Applies the platform's list. A list that is empty, older than `list_max_age` or not newer
+    /// than the last one is ignored, and the last one remains in use. Workers that the list does
+    /// not name stay as they are. Returns false if the list was ignored.
+    bool apply_list(time_point now, const platform_list& list);
+
+    /// Slots of the worker that this host may use. By default all of them.
+    /// \param lease_end set for borrowed slots: no task starts from then on
+    /// \see slot_sharing
+    void set_share(worker_id worker, time_point now, std::uint32_t slots,
+                   std::optional<time_point> lease_end = std::nullopt);
+
+    /// Capacity of a service; zero for an unknown one.
+    pool_capacity capacity(std::string_view service) const;
+
+    /// Estimated time until a slot is free: zero with a free slot, otherwise the mean run time
+    /// over the number of busy slots. None if this host has no usable slot.
+    std::optional<duration> time_to_free_slot(std::string_view service) const;
+
+    std::optional<worker_id> find(std::string_view name) const;
+    const worker_config& config(worker_id worker) const { return at(worker).config; }
+    worker_state state(worker_id worker) const;
+    double speed(worker_id worker) const { return at(worker).speed; }
+    std::uint32_t running(worker_id worker) const { return running_[worker]; }
+    std::uint32_t share(worker_id worker) const { return at(worker).share; }
+    /// Slots that this host may use now: share and health.
+    std::uint32_t usable_slots(worker_id worker) const { return at(worker).usable; }
+    /// Slots of the worker, limited by its connections.
+    std::uint32_t full_slots(worker_id worker) const { return at(worker).full; }
+
+    /// Workers that are not removed, in no particular order.
+    std::vector<worker_id> workers() const;
+
+    const pool_counters& counters() const noexcept { return counters_; }
+    const pool_options& options() const noexcept { return options_; }
+
+private:
+    static constexpr std::uint32_t not_listed = UINT32_MAX;
+
+    using wake_queue = std::set<std::pair<time_point, worker_id>>;
+
+    struct service_state {
+        winner_tree own;
+        winner_tree borrowed;
+        std::vector<worker_id> free;
+        std::vector<worker_id> members;
+        std::set<worker_id> probes; // a probe is due and no task runs
+        wake_queue wakes;           // ends of ejections and refusal pauses
+        pool_capacity capacity;
+        std::uint32_t busy = 0;
+        std::uint32_t seen = 0;
+        std::uint32_t failures = 0;
+        std::uint32_t ended_since_median = 0;
+        double median_speed = 1.0;
+        double mean_run_seconds = 0;
+        bool one_slot_lifted = false;
+    };
+
+    struct worker_entry {
+        worker_config config;
+        worker_health health;
+        service_state* service = nullptr;
+        double speed = 1.0;
+        std::uint32_t full = 0;
+        std::uint32_t share = 0;
+        std::uint32_t usable = 0;
+        std::uint32_t refusals_in_a_row = 0;
+        std::uint32_t last_used = 0;
+        std::uint32_t free_index = not_listed;
+        std::uint32_t member_index = not_listed;
+        std::optional<time_point> lease_end;
+        std::optional<time_point> paused_until;
+        std::optional<time_point> wake_at;
+        std::optional<time_point> header_leaving;
+        bool list_leaving = false;
+        bool drained = false;
+        bool gone = false;
+        bool share_set = false;
+        pool_capacity counted; // contribution to the service's capacity
+        std::uint32_t counted_seen = 0;
+        std::uint32_t counted_failures = 0;
+    };
+
+    struct string_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const noexcept
+        {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
+    template <class T>
+    using name_map = std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
+
+    worker_entry& at(worker_id worker) { return *entries_[worker]; }
+    const worker_entry& at(worker_id worker) const { return *entries_[worker]; }
+    worker_id allocate();
+    service_state& service(const std::string& name);
+    service_state* find_service(std::string_view name) const;
+
+    void judge(worker_id worker, time_point now, task_outcome outcome, duration run_time,
+               duration expected);
+    void record_success(worker_entry& entry, time_point now, duration run_time, duration expected);
+    void record_refusal(worker_entry& entry, time_point now);
+    void try_eject(worker_entry& entry, time_point now);
+    void enforce_ceiling(service_state& in, time_point now);
+
+    void wake_due(service_state& in, time_point now);
+    void refresh_median(service_state& in);
+    void refresh(worker_id worker);
+    void refresh_all(service_state& in);
+    void refresh_usable(worker_entry& entry);
+    void refresh_indexes(worker_id worker, worker_entry& entry);
+    void refresh_free_list(worker_id worker, worker_entry& entry, bool listed);
+    void refresh_counts(worker_id worker, worker_entry& entry);
+    void refresh_wake(worker_id worker, worker_entry& entry);
+    void join(worker_id worker, worker_entry& entry);
+    void leave(worker_id worker, worker_entry& entry);
+    void release_if_done(worker_id worker);
+    std::optional<worker_id> pick(service_state& in, time_point now, bool borrowed_allowed,
+                                  rng& random);
+    void drop_lapsed(service_state& in, time_point now);
+    static double pool_share(const service_state& in);
+    static bool in_service(const worker_entry& entry);
+
+    pool_options options_;
+    std::unique_ptr<choice_policy> policy_;
+    std::vector<std::unique_ptr<worker_entry>> entries_;
+    std::vector<std::uint32_t> running_;
+    std::vector<worker_id> unused_;
+    name_map<worker_id> by_name_;
+    name_map<std::unique_ptr<service_state>> services_;
+    std::optional<time_point> list_as_of_;
+    std::uint32_t choices_ = 0;
+    pool_counters counters_;
+};
+
+} // namespace chivewharf::upstream
