--- a/modules/upstream/slot_messages.h
+++ b/modules/upstream/slot_messages.h
@@ -33,7 +33,8 @@
     std::uint32_t spare = 0; ///< slots that the lender could still lend
 };
 
-/// Gives slots back before the lease ends.
+/// Gives slots back before the lease ends. Each entry states the slots that the borrower keeps, so
+/// that a delayed or repeated message releases nothing twice.
 struct slot_return {
     std::vector<granted_slots> slots;
 };
--- /dev/null
+++ b/modules/upstream/slot_sharing.cpp
@@ -0,0 +1,439 @@
+#include <upstream/slot_sharing.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivewharf::upstream {
+
+namespace {
+
+duration part(duration whole, double share)
+{
+    return from_seconds(to_seconds(whole) * share);
+}
+
+} // namespace
+
+slot_sharing::slot_sharing(worker_pool& pool, std::string self, std::uint64_t first_number,
+                           sharing_options options)
+    : pool_(pool), self_(std::move(self)), options_(options), next_number_(first_number)
+{
+}
+
+void slot_sharing::set_members(time_point now, std::vector<member> members)
+{
+    for (auto& m : members)
+        m.live = m.live || m.host == self_;
+    const auto previous = std::exchange(homes_, home_map{std::move(members)});
+    std::erase_if(borrowed_, [&](const auto& grant) { return !homes_.live(grant.first.first); });
+    std::erase_if(sent_, [&](const auto& request) { return !homes_.live(request.second.to); });
+    rebuild(now, previous.members().empty() ? nullptr : &previous);
+}
+
+void slot_sharing::workers_changed(time_point now)
+{
+    rebuild(now, nullptr);
+}
+
+void slot_sharing::rebuild(time_point now, const home_map* previous)
+{
+    own_.clear();
+    lenders_.clear();
+    const auto wait = options_.lease + options_.margin;
+    for (const auto id : pool_.workers()) {
+        const auto& config = pool_.config(id);
+        const auto host = homes_.home(config.name);
+        if (host.empty() || host == self_) {
+            own_[config.service].push_back(config.name);
+            const auto old = previous ? previous->home(config.name) : std::string_view{};
+            if (!old.empty() && old != self_ && homes_.live(old))
+                usable_from_.insert_or_assign(config.name, now + wait);
+        }
+        else {
+            lenders_[config.service].emplace(host);
+            usable_from_.erase(config.name);
+        }
+        apply_share(now, config.name);
+    }
+}
+
+bool slot_sharing::is_own(std::string_view worker) const
+{
+    const auto host = homes_.home(worker);
+    return host.empty() || host == self_;
+}
+
+std::uint32_t slot_sharing::own_share(time_point now, const std::string& worker, worker_id id) const
+{
+    const auto moved = usable_from_.find(worker);
+    if (moved != usable_from_.end() && now < moved->second)
+        return 0;
+    const auto lent = lent_slots_.find(worker);
+    const auto full = pool_.full_slots(id);
+    return lent == lent_slots_.end() ? full : full - std::min(full, lent->second);
+}
+
+void slot_sharing::apply_share(time_point now, const std::string& worker)
+{
+    const auto id = pool_.find(worker);
+    if (!id)
+        return;
+    if (is_own(worker)) {
+        pool_.set_share(*id, own_share(now, worker, *id));
+        return;
+    }
+    std::uint32_t slots = 0;
+    std::optional<time_point> lease_end;
+    for (const auto& [key, grant] : borrowed_) {
+        if (grant.worker != worker || now >= grant.lease_end)
+            continue;
+        slots += grant.slots;
+        lease_end = lease_end ? std::min(*lease_end, grant.lease_end) : grant.lease_end;
+    }
+    pool_.set_share(*id, slots, lease_end.value_or(now));
+}
+
+void slot_sharing::set_backlog(std::string_view service, std::uint32_t tasks)
+{
+    const auto found = backlog_.find(service);
+    if (found != backlog_.end())
+        found->second = tasks;
+    else
+        backlog_.emplace(service, tasks);
+}
+
+std::vector<outgoing_slot_message> slot_sharing::tick(time_point now, rng& random)
+{
+    drop_lapsed(now);
+    note_use();
+    std::vector<outgoing_slot_message> out;
+    add_returns(now, out);
+    add_renewals(now, out);
+    add_requests(now, random, out);
+    return out;
+}
+
+void slot_sharing::drop_lapsed(time_point now)
+{
+    for (auto next = lent_.begin(); next != lent_.end();) {
+        const auto grant = next++;
+        if (now < grant->second.reusable)
+            continue;
+        ++counters_.lapsed_lent;
+        const auto worker = grant->second.worker;
+        keep_lent(grant, 0);
+        apply_share(now, worker);
+    }
+    for (auto next = borrowed_.begin(); next != borrowed_.end();) {
+        if (now < next->second.lease_end) {
+            ++next;
+            continue;
+        }
+        ++counters_.lapsed_borrowed;
+        const auto worker = next->second.worker;
+        next = borrowed_.erase(next);
+        apply_share(now, worker);
+    }
+    for (auto next = usable_from_.begin(); next != usable_from_.end();) {
+        if (now < next->second) {
+            ++next;
+            continue;
+        }
+        const auto worker = next->first;
+        next = usable_from_.erase(next);
+        apply_share(now, worker);
+    }
+    std::erase_if(sent_, [&](const auto& s) { return now - s.second.sent_at >= options_.lease; });
+}
+
+void slot_sharing::keep_lent(std::map<std::uint64_t, lent_grant>::iterator grant,
+                             std::uint32_t slots)
+{
+    const auto kept = std::min(slots, grant->second.slots);
+    auto& lent = lent_slots_[grant->second.worker];
+    lent -= grant->second.slots - kept;
+    if (lent == 0)
+        lent_slots_.erase(grant->second.worker);
+    grant->second.slots = kept;
+    if (kept == 0)
+        lent_.erase(grant);
+}
+
+std::uint32_t slot_sharing::lendable(worker_id worker) const
+{
+    const auto share = pool_.share(worker);
+    const auto running = pool_.running(worker);
+    if (pool_.state(worker) != worker_state::usable || pool_.usable_slots(worker) != share)
+        return 0;
+    return share - std::min(share, running);
+}
+
+std::uint32_t slot_sharing::spare(std::string_view service) const
+{
+    const auto own = own_.find(service);
+    if (own == own_.end())
+        return 0;
+    std::uint32_t slots = 0;
+    for (const auto& worker : own->second) {
+        if (const auto id = pool_.find(worker))
+            slots += lendable(*id);
+    }
+    const auto backlog = backlog_.find(service);
+    return slots - std::min(slots, backlog == backlog_.end() ? 0 : backlog->second);
+}
+
+slot_grant slot_sharing::on_request(time_point now, std::string_view from,
+                                    const slot_request& message)
+{
+    drop_lapsed(now);
+    slot_grant answer{.request = message.request,
+                      .service = message.service,
+                      .lease = options_.lease,
+                      .granted = {},
+                      .renewed = renew(now, from, message.renew),
+                      .spare = 0};
+    if (message.slots > 0) {
+        answer.granted = lend(now, from, message.service, message.slots);
+        ++(answer.granted.empty() ? counters_.refusals : counters_.grants);
+    }
+    answer.spare = spare(message.service);
+    return answer;
+}
+
+std::vector<granted_slots> slot_sharing::renew(time_point now, std::string_view from,
+                                               const std::vector<granted_slots>& wanted)
+{
+    std::vector<granted_slots> renewed;
+    for (const auto& w : wanted) {
+        const auto grant = lent_.find(w.grant);
+        if (grant == lent_.end() || grant->second.to != from || now >= grant->second.expires)
+            continue;
+        const auto worker = grant->second.worker;
+        const auto id = pool_.find(worker);
+        if (!id || !is_own(worker) || pool_.state(*id) > worker_state::probing)
+            continue;
+        const auto slots = std::min(w.slots, grant->second.slots);
+        if (slots < grant->second.slots)
+            keep_lent(grant, slots);
+        if (slots > 0) {
+            grant->second.expires = now + options_.lease + options_.margin;
+            grant->second.reusable = grant->second.expires + pool_.options().borrowed_run_limit;
+            renewed.push_back({w.grant, worker, slots});
+        }
+        apply_share(now, worker);
+    }
+    return renewed;
+}
+
+std::vector<granted_slots> slot_sharing::lend(time_point now, std::string_view from,
+                                              const std::string& service, std::uint32_t wanted)
+{
+    const auto most = static_cast<std::uint32_t>(std::ceil(spare(service) * options_.lend_part));
+    auto left = std::min({wanted, most, options_.batch});
+    std::vector<std::pair<std::uint32_t, worker_id>> workers;
+    if (const auto own = own_.find(service); left > 0 && own != own_.end()) {
+        for (const auto& name : own->second) {
+            const auto id = pool_.find(name);
+            if (id && lendable(*id) > 0)
+                workers.emplace_back(lendable(*id), *id);
+        }
+    }
+    std::sort(workers.begin(), workers.end(),
+              [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<granted_slots> granted;
+    const auto expires = now + options_.lease + options_.margin;
+    for (const auto& [slots, id] : workers) {
+        if (left == 0)
+            break;
+        const auto n = std::min(slots, left);
+        left -= n;
+        const auto& name = pool_.config(id).name;
+        const auto number = next_number_++;
+        lent_.emplace(number, lent_grant{std::string{from}, name, n, expires,
+                                         expires + pool_.options().borrowed_run_limit});
+        lent_slots_[name] += n;
+        granted.push_back({number, name, n});
+        apply_share(now, name);
+    }
+    return granted;
+}
+
+void slot_sharing::on_grant(time_point now, std::string_view from, const slot_grant& message,
+                            rng& random)
+{
+    const auto sent = sent_.find(message.request);
+    if (sent == sent_.end() || sent->second.to != from)
+        return;
+    const auto request = sent->second;
+    sent_.erase(sent);
+    const auto lease_end = request.sent_at + message.lease;
+    auto& peer = peers_[{request.to, request.service}];
+    peer.spare = message.spare;
+    if (request.slots > 0 && message.granted.empty())
+        back_off(now, peer, random);
+    else if (request.slots > 0)
+        peer.refusals = 0;
+    if (now >= lease_end)
+        return;
+    const auto renew_at = request.sent_at + part(message.lease, options_.renew_after);
+    for (const auto& slots : message.renewed) {
+        const auto held = borrowed_.find({request.to, slots.grant});
+        if (held == borrowed_.end())
+            continue;
+        held->second.lease_end = std::max(held->second.lease_end, lease_end);
+        held->second.renew_at = renew_at;
+        apply_share(now, slots.worker);
+    }
+    for (const auto& slots : message.granted) {
+        borrowed_.emplace(grant_key{request.to, slots.grant},
+                          borrowed_grant{.worker = slots.worker,
+                                         .service = request.service,
+                                         .slots = slots.slots,
+                                         .lease_end = lease_end,
+                                         .renew_at = renew_at,
+                                         .window_start = now});
+        apply_share(now, slots.worker);
+    }
+}
+
+void slot_sharing::on_return(time_point now, std::string_view from, const slot_return& message)
+{
+    for (const auto& slots : message.slots) {
+        const auto grant = lent_.find(slots.grant);
+        if (grant == lent_.end() || grant->second.to != from)
+            continue;
+        const auto worker = grant->second.worker;
+        keep_lent(grant, slots.slots);
+        apply_share(now, worker);
+    }
+}
+
+void slot_sharing::note_use()
+{
+    std::map<std::string_view, std::uint32_t> running;
+    for (auto& [key, grant] : borrowed_) {
+        const auto id = pool_.find(grant.worker);
+        auto& left = running.try_emplace(grant.worker, id ? pool_.running(*id) : 0).first->second;
+        grant.in_use = std::min(left, grant.slots);
+        left -= grant.in_use;
+        grant.peak = std::max(grant.peak, grant.in_use);
+    }
+}
+
+void slot_sharing::add_returns(time_point now, std::vector<outgoing_slot_message>& out)
+{
+    std::map<std::string, slot_return> returns;
+    for (auto next = borrowed_.begin(); next != borrowed_.end();) {
+        const auto held = next++;
+        auto& grant = held->second;
+        const bool usable = pool_.find(grant.worker).has_value();
+        if (usable && now - grant.window_start < options_.idle_return)
+            continue;
+        const auto backlog = backlog_.find(grant.service);
+        const bool wanted = usable && backlog != backlog_.end() && backlog->second > 0;
+        const auto keep = wanted ? grant.slots : grant.peak;
+        grant.window_start = now;
+        grant.peak = grant.in_use;
+        if (keep == grant.slots)
+            continue;
+        returns[held->first.first].slots.push_back({held->first.second, grant.worker, keep});
+        grant.slots = keep;
+        const auto worker = grant.worker;
+        if (keep == 0)
+            borrowed_.erase(held);
+        apply_share(now, worker);
+    }
+    for (auto& [to, message] : returns) {
+        ++counters_.returns;
+        out.push_back({to, std::move(message)});
+    }
+}
+
+void slot_sharing::add_renewals(time_point now, std::vector<outgoing_slot_message>& out)
+{
+    using peer_service = std::pair<std::string, std::string>;
+    std::map<peer_service, bool> due;
+    for (const auto& [key, grant] : borrowed_) {
+        if (grant.renew_at <= now)
+            due.emplace(peer_service{key.first, grant.service}, true);
+    }
+    for (const auto& [target, unused] : due) {
+        slot_request request{
+            .request = next_number_++, .service = target.second, .slots = 0, .renew = {}};
+        for (auto& [key, grant] : borrowed_) {
+            if (key.first != target.first || grant.service != target.second)
+                continue;
+            request.renew.push_back({key.second, grant.worker, grant.slots});
+            grant.renew_at = now + part(options_.lease, options_.renew_after / 2);
+        }
+        sent_.emplace(request.request, sent_request{target.first, target.second, now, 0});
+        ++counters_.renewals;
+        out.push_back({target.first, std::move(request)});
+    }
+}
+
+void slot_sharing::add_requests(time_point now, rng& random,
+                                std::vector<outgoing_slot_message>& out)
+{
+    for (const auto& [service, backlog] : backlog_) {
+        std::uint32_t wanted = backlog;
+        std::uint32_t unanswered = 0;
+        for (const auto& [number, request] : sent_) {
+            if (request.service != service || request.slots == 0 ||
+                now - request.sent_at >= options_.request_timeout)
+                continue;
+            ++unanswered;
+            wanted -= std::min(wanted, request.slots);
+        }
+        for (; wanted > 0 && unanswered < options_.requests_out; ++unanswered) {
+            const auto peer = next_peer(now, service, random);
+            if (!peer)
+                break;
+            const auto slots = std::min(wanted, options_.batch);
+            wanted -= slots;
+            const auto number = next_number_++;
+            sent_.emplace(number, sent_request{*peer, service, now, slots});
+            ++counters_.requests;
+            out.push_back({*peer, slot_request{number, service, slots, {}}});
+        }
+    }
+}
+
+std::optional<std::string> slot_sharing::next_peer(time_point now, const std::string& service,
+                                                   rng& random)
+{
+    const auto lenders = lenders_.find(service);
+    if (lenders == lenders_.end())
+        return std::nullopt;
+    std::optional<std::string> best;
+    std::pair<std::uint32_t, std::uint64_t> best_key;
+    for (const auto& host : lenders->second) {
+        auto& peer = peers_[{host, service}];
+        const bool asked = std::any_of(sent_.begin(), sent_.end(), [&](const auto& s) {
+            return s.second.to == host && s.second.service == service && s.second.slots > 0 &&
+                   now - s.second.sent_at < options_.request_timeout;
+        });
+        if (asked || now < peer.not_before)
+            continue;
+        // The last known spare slots of a peer that refused are out of date after its backoff.
+        const auto spare = peer.refusals > 0 ? 1 : peer.spare.value_or(1);
+        const std::pair<std::uint32_t, std::uint64_t> key{spare, random()};
+        if (!best || key > best_key) {
+            best = host;
+            best_key = key;
+        }
+    }
+    return best;
+}
+
+void slot_sharing::back_off(time_point now, peer_record& peer, rng& random) const
+{
+    auto wait = options_.backoff_first;
+    for (std::uint32_t i = 0; i < peer.refusals && wait < options_.backoff_longest; ++i)
+        wait *= 2;
+    ++peer.refusals;
+    wait = std::min(wait, options_.backoff_longest);
+    peer.not_before = now + wait + uniform_duration(random, wait / 2);
+}
+
+} // namespace chivewharf::upstream
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <upstream/home_map.h>
@@ -54,10 +55,15 @@
 class slot_sharing {
 public:
     /// \param self name of this entry host
-    slot_sharing(worker_pool& pool, std::string self, sharing_options options = {});
-
-    /// Sets the members of the domain. A worker that moves here from a host that is still live is
-    /// used after the longest hold of a grant, so that the old home's grants have lapsed.
+    /// \param first_number random number of this process; its requests and grants are numbered
+    ///        from there, so that those of an earlier process under the same name don't match
+    slot_sharing(worker_pool& pool, std::string self, std::uint64_t first_number,
+                 sharing_options options = {});
+
+    /// Sets the members of the domain; this host always counts as live. A worker that moves here
+    /// from a host that is still live is used after lease and margin, when no host starts a task on
+    /// a grant of the old home any more. Tasks that still run there are protected by the runner's
+    /// refusal. Grants of hosts that are not live are dropped.
     void set_members(time_point now, std::vector<member> members);
 
     /// Call it after workers were put into the pool or removed from it.
@@ -89,7 +95,6 @@
     struct lent_grant {
         std::string to;
         std::string worker;
-        std::string service;
         std::uint32_t slots = 0;
         time_point expires;  // of the lease, with margin
         time_point reusable; // after the last task that may run on it
@@ -99,8 +104,10 @@
         std::string service;
         std::uint32_t slots = 0;
         time_point lease_end;
-        time_point last_used;
         time_point renew_at;
+        time_point window_start; // of `peak`
+        std::uint32_t peak = 0;  // most slots in use since then
+        std::uint32_t in_use = 0;
     };
     struct sent_request {
         std::string to;
@@ -113,38 +120,40 @@
         time_point not_before;
         std::uint32_t refusals = 0;
     };
-    struct worker_home {
-        std::string host;
-        std::optional<time_point> usable_from;
-    };
     using grant_key = std::pair<std::string, std::uint64_t>; // lender, grant
 
-    void apply_share(time_point now, worker_id worker);
+    void rebuild(time_point now, const home_map* previous);
     void apply_share(time_point now, const std::string& worker);
+    std::uint32_t own_share(time_point now, const std::string& worker, worker_id id) const;
+    bool is_own(std::string_view worker) const;
     void drop_lapsed(time_point now);
-    void note_use(time_point now);
-    std::uint32_t busy_slots(const std::string& worker) const;
+    void keep_lent(std::map<std::uint64_t, lent_grant>::iterator grant, std::uint32_t slots);
     std::uint32_t lendable(worker_id worker) const;
+    std::vector<granted_slots> renew(time_point now, std::string_view from,
+                                     const std::vector<granted_slots>& wanted);
+    std::vector<granted_slots> lend(time_point now, std::string_view from,
+                                    const std::string& service, std::uint32_t wanted);
+    void note_use();
     void add_returns(time_point now, std::vector<outgoing_slot_message>& out);
     void add_renewals(time_point now, std::vector<outgoing_slot_message>& out);
     void add_requests(time_point now, rng& random, std::vector<outgoing_slot_message>& out);
-    std::vector<std::string> askable_peers(time_point now, const std::string& service, rng& random);
+    std::optional<std::string> next_peer(time_point now, const std::string& service, rng& random);
     void back_off(time_point now, peer_record& peer, rng& random) const;
 
     worker_pool& pool_;
     std::string self_;
     sharing_options options_;
     home_map homes_;
-    bool members_known_ = false;
-    std::map<std::string, worker_home, std::less<>> worker_homes_;
+    std::map<std::string, time_point, std::less<>> usable_from_; // own workers that moved here
+    std::map<std::string, std::vector<std::string>, std::less<>> own_;  // workers by service
+    std::map<std::string, std::set<std::string>, std::less<>> lenders_; // peers by service
     std::map<std::uint64_t, lent_grant> lent_;
     std::map<std::string, std::uint32_t, std::less<>> lent_slots_; // by worker
     std::map<grant_key, borrowed_grant> borrowed_;
     std::map<std::uint64_t, sent_request> sent_;
     std::map<std::pair<std::string, std::string>, peer_record> peers_; // host, service
     std::map<std::string, std::uint32_t, std::less<>> backlog_;
-    std::uint64_t next_grant_ = 1;
-    std::uint64_t next_request_ = 1;
+    std::uint64_t next_number_; // of requests and grants
     sharing_counters counters_;
 };
 
--- a/modules/upstream/worker_health.h
+++ b/modules/upstream/worker_health.h
@@ -35,8 +35,9 @@
     /// Ends the ejection: the next task is a probe.
     void begin_probe() noexcept;
 
-    /// Ends the ejection without a probe, when the ceiling has become smaller.
-    void readmit() noexcept { state_ = worker_state::usable; }
+    /// Ends the ejection without a probe, when the ceiling has become smaller. The worker has one
+    /// slot until it succeeds.
+    void readmit() noexcept;
 
     time_point eject_until() const noexcept { return eject_until_; }
 
@@ -44,8 +45,8 @@
     bool counts_as_ejected() const noexcept;
 
     /// Tasks that the record permits at the same time.
-    std::uint32_t slot_limit(std::uint32_t slots, double pool_share,
-                             const pool_options& options) const noexcept;
+    /// \param limit_after_failure a worker with a recent failure has one slot
+    std::uint32_t slot_limit(std::uint32_t slots, bool limit_after_failure) const noexcept;
 
     std::uint32_t seen() const noexcept { return seen_; }
     std::uint32_t failures() const noexcept { return static_cast<std::uint32_t>(failed_.count()); }
@@ -58,6 +59,7 @@
     std::uint32_t in_a_row_ = 0;
     std::uint32_t silent_in_a_row_ = 0;
     std::uint32_t probe_successes_ = 0;
+    std::uint32_t restored_ = 0; // slots restored after the first one
     std::uint32_t ejections_ = 0;
     time_point eject_until_{};
     time_point restored_at_{};
--- a/modules/upstream/worker_pool.h
+++ b/modules/upstream/worker_pool.h
@@ -67,13 +67,13 @@
                          std::unique_ptr<choice_policy> policy = nullptr);
 
     /// Adds a worker, or changes the one with the same name. Running tasks, speed and health are
-    /// kept; a lower number of slots takes effect as tasks end. A change of service or address
-    /// starts a new record. Errors: empty_name, no_slots, no_connections.
-    result<worker_id, upstream_error> put(time_point now, const worker_config& config);
+    /// kept; a lower number of slots takes effect as tasks end. A change of address starts a new
+    /// record. Errors: empty_name, no_slots, no_connections.
+    result<worker_id, upstream_error> put(const worker_config& config);
 
     /// Removes a worker: it gets no new task, and its running tasks end as usual.
     /// Errors: unknown_worker.
-    result<void, upstream_error> remove(time_point now, std::string_view name);
+    result<void, upstream_error> remove(std::string_view name);
 
     /// Worker with a free slot for a task, or none. The task is not counted until `task_started`.
     /// \param expected run time at the reference speed
@@ -82,8 +82,12 @@
     std::optional<worker_id> choose(time_point now, std::string_view service, duration expected,
                                     time_point deadline, rng& random);
 
+    /// Ends the ejections, pauses and leases that are due. `choose` does so for its service; call
+    /// this every 10 to 50 ms so that `capacity` is right while nothing is chosen.
+    void tick(time_point now);
+
     /// A task was sent. Call it before the next `choose`.
-    void task_started(worker_id worker, time_point now);
+    void task_started(worker_id worker);
 
     /// A task ended. Call it once for each `task_started`.
     /// \param run_time from send to end
@@ -93,7 +97,7 @@
 
     /// The operator's drain and undrain. Undrain also ends a runner's own leave notice.
     /// Errors: unknown_worker.
-    result<void, upstream_error> set_drained(time_point now, std::string_view name, bool drained);
+    result<void, upstream_error> set_drained(std::string_view name, bool drained);
 
     /// The runner announced in a header that it is leaving.
     void header_leaving(worker_id worker, time_point now);
@@ -106,7 +110,7 @@
     /// Slots of the worker that this host may use. By default all of them.
     /// \param lease_end set for borrowed slots: no task starts from then on
     /// \see slot_sharing
-    void set_share(worker_id worker, time_point now, std::uint32_t slots,
+    void set_share(worker_id worker, std::uint32_t slots,
                    std::optional<time_point> lease_end = std::nullopt);
 
     /// Capacity of a service; zero for an unknown one.
@@ -176,6 +180,7 @@
         bool gone = false;
         bool share_set = false;
         pool_capacity counted; // contribution to the service's capacity
+        std::uint32_t counted_busy = 0;
         std::uint32_t counted_seen = 0;
         std::uint32_t counted_failures = 0;
     };
@@ -201,10 +206,12 @@
     void record_success(worker_entry& entry, time_point now, duration run_time, duration expected);
     void record_refusal(worker_entry& entry, time_point now);
     void try_eject(worker_entry& entry, time_point now);
-    void enforce_ceiling(service_state& in, time_point now);
+    void enforce_ceiling(service_state& in);
 
     void wake_due(service_state& in, time_point now);
+    void note_ended(service_state& in);
     void refresh_median(service_state& in);
+    void refresh_limit(service_state& in);
     void refresh(worker_id worker);
     void refresh_all(service_state& in);
     void refresh_usable(worker_entry& entry);
@@ -212,13 +219,15 @@
     void refresh_free_list(worker_id worker, worker_entry& entry, bool listed);
     void refresh_counts(worker_id worker, worker_entry& entry);
     void refresh_wake(worker_id worker, worker_entry& entry);
-    void join(worker_id worker, worker_entry& entry);
+    void join(worker_id worker, worker_entry& entry, service_state& in);
     void leave(worker_id worker, worker_entry& entry);
     void release_if_done(worker_id worker);
     std::optional<worker_id> pick(service_state& in, time_point now, bool borrowed_allowed,
                                   rng& random);
-    void drop_lapsed(service_state& in, time_point now);
-    static double pool_share(const service_state& in);
+    std::optional<worker_id> pick_probe(service_state& in, time_point now, bool borrowed_allowed);
+    bool drop_lapsed(worker_id worker, time_point now);
+    std::uint32_t ejection_limit(const service_state& in) const;
+    double pool_share(const service_state& in) const;
     static bool in_service(const worker_entry& entry);
 
     pool_options options_;
