--- a/modules/upstream/slot_sharing.cpp
+++ b/modules/upstream/slot_sharing.cpp
@@ -12,6 +12,16 @@
     return from_seconds(to_seconds(whole) * share);
 }
 
+// Exponential wait with jitter up to half of it.
+duration next_wait(duration first, duration longest, std::uint32_t refusals, rng& random)
+{
+    auto wait = first;
+    for (std::uint32_t i = 0; i < refusals && wait < longest; ++i)
+        wait *= 2;
+    wait = std::min(wait, longest);
+    return wait + uniform_duration(random, wait / 2);
+}
+
 } // namespace
 
 slot_sharing::slot_sharing(worker_pool& pool, std::string self, std::uint64_t first_number,
@@ -105,6 +115,7 @@
 std::vector<outgoing_slot_message> slot_sharing::tick(time_point now, rng& random)
 {
     drop_lapsed(now);
+    note_timeouts(now, random);
     note_use();
     std::vector<outgoing_slot_message> out;
     add_returns(now, out);
@@ -269,10 +280,13 @@
     const auto lease_end = request.sent_at + message.lease;
     auto& peer = peers_[{request.to, request.service}];
     peer.spare = message.spare;
-    if (request.slots > 0 && message.granted.empty())
-        back_off(now, peer, random);
-    else if (request.slots > 0)
+    if (request.slots > 0 && message.granted.empty()) {
+        note_refusal(now, request, random);
+    }
+    else if (request.slots > 0) {
         peer.refusals = 0;
+        searches_[request.service].refusals = 0;
+    }
     if (now >= lease_end)
         return;
     const auto renew_at = request.sent_at + part(message.lease, options_.renew_after);
@@ -366,7 +380,7 @@
             request.renew.push_back({key.second, grant.worker, grant.slots});
             grant.renew_at = now + part(options_.lease, options_.renew_after / 2);
         }
-        sent_.emplace(request.request, sent_request{target.first, target.second, now, 0});
+        sent_.emplace(request.request, sent_request{target.first, target.second, now, 0, false});
         ++counters_.renewals;
         out.push_back({target.first, std::move(request)});
     }
@@ -385,6 +399,8 @@
             ++unanswered;
             wanted -= std::min(wanted, request.slots);
         }
+        if (now < searches_[service].not_before)
+            continue;
         for (; wanted > 0 && unanswered < options_.requests_out; ++unanswered) {
             const auto peer = next_peer(now, service, random);
             if (!peer)
@@ -392,7 +408,7 @@
             const auto slots = std::min(wanted, options_.batch);
             wanted -= slots;
             const auto number = next_number_++;
-            sent_.emplace(number, sent_request{*peer, service, now, slots});
+            sent_.emplace(number, sent_request{*peer, service, now, slots, false});
             ++counters_.requests;
             out.push_back({*peer, slot_request{number, service, slots, {}}});
         }
@@ -426,14 +442,34 @@
     return best;
 }
 
-void slot_sharing::back_off(time_point now, peer_record& peer, rng& random) const
+void slot_sharing::note_timeouts(time_point now, rng& random)
 {
-    auto wait = options_.backoff_first;
-    for (std::uint32_t i = 0; i < peer.refusals && wait < options_.backoff_longest; ++i)
-        wait *= 2;
-    ++peer.refusals;
-    wait = std::min(wait, options_.backoff_longest);
-    peer.not_before = now + wait + uniform_duration(random, wait / 2);
+    for (auto& [number, request] : sent_) {
+        if (request.timed_out || request.slots == 0 ||
+            now - request.sent_at < options_.request_timeout)
+            continue;
+        request.timed_out = true;
+        note_refusal(now, request, random);
+    }
+}
+
+void slot_sharing::note_refusal(time_point now, const sent_request& request, rng& random)
+{
+    auto& peer = peers_[{request.to, request.service}];
+    peer.not_before =
+        now + next_wait(options_.backoff_first, options_.backoff_longest, peer.refusals++, random);
+    auto& search = searches_[request.service];
+    search.not_before =
+        now + next_wait(options_.search_first, options_.search_longest, search.refusals++, random);
+}
+
+void slot_sharing::note_spare(const std::string& host, const std::string& service,
+                              std::uint32_t slots)
+{
+    auto& peer = peers_[{host, service}];
+    peer.spare = slots;
+    if (slots > 0)
+        peer.refusals = 0;
 }
 
 } // namespace chivewharf::upstream
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -34,6 +34,10 @@
     /// Wait before a peer that refused is asked again; doubled each time, with jitter up to half.
     duration backoff_first = milliseconds{50};
     duration backoff_longest = seconds{2};
+    /// Longest wait after refusals in a row before any peer is asked again for a service, starting
+    /// from `search_first`. At most 8 requests a second then go out while the domain is full.
+    duration search_first = milliseconds{10};
+    duration search_longest = milliseconds{250};
     /// Part of its spare slots that a host lends in one grant; the rest serves its own arrivals.
     double lend_part = 0.5;
 };
@@ -83,6 +87,9 @@
 
     void on_return(time_point now, std::string_view from, const slot_return& message);
 
+    /// Spare slots of a peer, where another message told them. Peers with the most are asked first.
+    void note_spare(const std::string& host, const std::string& service, std::uint32_t slots);
+
     /// Home entry host of the worker; empty if no host is live.
     std::string_view home(std::string_view worker) const { return homes_.home(worker); }
 
@@ -114,6 +121,7 @@
         std::string service;
         time_point sent_at;
         std::uint32_t slots = 0;
+        bool timed_out = false;
     };
     struct peer_record {
         std::optional<std::uint32_t> spare;
@@ -138,7 +146,8 @@
     void add_renewals(time_point now, std::vector<outgoing_slot_message>& out);
     void add_requests(time_point now, rng& random, std::vector<outgoing_slot_message>& out);
     std::optional<std::string> next_peer(time_point now, const std::string& service, rng& random);
-    void back_off(time_point now, peer_record& peer, rng& random) const;
+    void note_timeouts(time_point now, rng& random);
+    void note_refusal(time_point now, const sent_request& request, rng& random);
 
     worker_pool& pool_;
     std::string self_;
@@ -153,7 +162,8 @@
     std::map<std::uint64_t, sent_request> sent_;
     std::map<std::pair<std::string, std::string>, peer_record> peers_; // host, service
     std::map<std::string, std::uint32_t, std::less<>> backlog_;
-    std::uint64_t next_number_; // of requests and grants
+    std::map<std::string, peer_record, std::less<>> searches_; // by service
+    std::uint64_t next_number_;                                // of requests and grants
     sharing_counters counters_;
 };
 
--- /dev/null
+++ b/modules/upstream/tests/sharing_test.cpp
@@ -0,0 +1,254 @@
+#include <upstream/upstream.h>
+
+#include <algorithm>
+#include <base/digest.h>
+#include <cmath>
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck/gtest.h>
+
+namespace chivewharf::upstream {
+namespace {
+
+const std::string service = "plugdesk";
+constexpr duration run = milliseconds{50};
+constexpr duration step_time = milliseconds{20};
+
+/// Entry hosts of one domain that exchange slot messages over links with delay and loss.
+class domain {
+public:
+    domain(int host_count, int worker_count, std::uint64_t seed) : random(seed)
+    {
+        for (int i = 0; i < host_count; ++i)
+            members.push_back({"e" + std::to_string(i), 1.0, true});
+        for (const auto& m : members) {
+            auto& h = hosts.emplace_back(std::make_unique<host>(m.host));
+            for (int w = 0; w < worker_count; ++w) {
+                const auto name = "w" + std::to_string(w);
+                EXPECT_TRUE(h->pool.put({name, name, service, 4, 60}));
+            }
+            h->sharing.set_members(now, members);
+        }
+    }
+
+    struct task {
+        worker_id worker;
+        time_point end;
+    };
+    struct host {
+        explicit host(std::string host_name)
+            : name(std::move(host_name)), sharing(pool, name, stable_hash(name))
+        {
+        }
+        std::string name;
+        worker_pool pool;
+        slot_sharing sharing;
+        std::vector<task> tasks;
+        std::uint32_t queued = 0;
+    };
+    struct letter {
+        time_point arrives;
+        std::string from;
+        outgoing_slot_message content;
+    };
+
+    /// Tasks end, letters arrive, queued tasks start and the timers run.
+    void step()
+    {
+        now += step_time;
+        for (auto& h : hosts)
+            end_tasks(*h);
+        deliver();
+        for (auto& h : hosts) {
+            start_tasks(*h);
+            h->sharing.set_backlog(service, h->queued);
+            for (auto& message : h->sharing.tick(now, random))
+                post(h->name, std::move(message));
+        }
+    }
+
+    void start_tasks(host& h)
+    {
+        while (h.queued > 0) {
+            const auto deadline = now + seconds{4};
+            const auto id = h.pool.choose(now, service, run, deadline, random);
+            if (!id)
+                return;
+            h.pool.task_started(*id);
+            h.tasks.push_back({*id, slow ? now + uniform_duration(random, seconds{4}) : now + run});
+            --h.queued;
+        }
+    }
+
+    void end_tasks(host& h)
+    {
+        std::erase_if(h.tasks, [&](const task& t) {
+            if (t.end <= now)
+                h.pool.task_ended(t.worker, now, task_outcome::ok, run, run);
+            return t.end <= now;
+        });
+    }
+
+    void post(const std::string& from, outgoing_slot_message message)
+    {
+        ++messages;
+        if (uniform(random) >= loss)
+            letters.push_back({now + uniform_duration(random, delay), from, std::move(message)});
+    }
+
+    void deliver()
+    {
+        std::vector<letter> due;
+        std::erase_if(letters, [&](letter& l) {
+            if (l.arrives <= now)
+                due.push_back(l);
+            return l.arrives <= now;
+        });
+        for (const auto& l : due) {
+            auto& to = *find(l.content.to);
+            if (const auto* request = std::get_if<slot_request>(&l.content.message))
+                post(to.name, {l.from, to.sharing.on_request(now, l.from, *request)});
+            else if (const auto* grant = std::get_if<slot_grant>(&l.content.message))
+                to.sharing.on_grant(now, l.from, *grant, random);
+            else
+                to.sharing.on_return(now, l.from, std::get<slot_return>(l.content.message));
+        }
+    }
+
+    host* find(const std::string& name)
+    {
+        return std::find_if(hosts.begin(), hosts.end(),
+                            [&](const auto& h) { return h->name == name; })
+            ->get();
+    }
+
+    /// Most tasks on one worker, over all hosts.
+    std::uint32_t most_running() const
+    {
+        std::uint32_t most = 0;
+        for (const auto id : hosts[0]->pool.workers()) {
+            std::uint32_t sum = 0;
+            for (const auto& h : hosts)
+                sum += h->pool.running(id);
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+
+    rng random;
+    time_point now{seconds{100}};
+    std::vector<member> members;
+    std::vector<std::unique_ptr<host>> hosts;
+    std::vector<letter> letters;
+    double loss = 0;
+    duration delay = milliseconds{1};
+    bool slow = false; // tasks of up to 4 s instead of 50 ms
+    std::uint64_t messages = 0;
+};
+
+// Guards against lender and borrowers that together put more tasks on a worker than it has slots,
+// when messages are late, reordered or lost and while tasks outlive the lease.
+RC_GTEST_PROP(slot_sharing, slots_are_never_used_twice, ())
+{
+    domain d{3, 4, *rc::gen::arbitrary<std::uint64_t>()};
+    d.loss = *rc::gen::inRange(0, 60) / 100.0;
+    d.delay = milliseconds{*rc::gen::inRange(1, 3000)};
+    d.slow = *rc::gen::arbitrary<bool>();
+    for (int i = 0; i < 1000; ++i) {
+        auto& h = *d.hosts[d.random() % d.hosts.size()];
+        h.queued = std::min(h.queued + static_cast<std::uint32_t>(d.random() % 3), 20U);
+        if (d.random() % 100 == 0)
+            h.queued = 0;
+        d.step();
+        RC_ASSERT(d.most_running() <= 4U);
+    }
+}
+
+// Guards against idle slots beside a backlog, slots that are kept when idle, and a message for
+// each task.
+TEST(slot_sharing, backlog_borrows_the_idle_slots_and_returns_them)
+{
+    domain d{4, 20, 1};
+    auto& busy = *d.hosts[0];
+    std::uint64_t done = 0;
+    for (int i = 0; i < 250; ++i) {
+        done += 200 - busy.queued;
+        busy.queued = 200;
+        d.step();
+    }
+    EXPECT_GE(busy.tasks.size(), 64U) << "of 80 slots in the domain";
+    EXPECT_GT(done, 4000U);
+    EXPECT_LT(d.messages, 200U);
+    busy.queued = 0;
+    for (int i = 0; i < 50; ++i)
+        d.step();
+    std::uint32_t slots = 0;
+    for (const auto& h : d.hosts)
+        slots += h->pool.capacity(service).total_slots;
+    EXPECT_EQ(slots, 80U);
+    EXPECT_EQ(busy.sharing.counters().lapsed_borrowed, 0U);
+}
+
+// Guards against requests without end while the whole domain is full: at most 8 requests a second
+// for each host, each with one answer.
+TEST(slot_sharing, refusals_back_off)
+{
+    domain d{10, 20, 1};
+    for (int i = 0; i < 500; ++i) {
+        for (auto& h : d.hosts)
+            h->queued = 200;
+        d.step();
+    }
+    EXPECT_LT(d.messages, 10U * 10 * 8 * 2);
+}
+
+// Guards against a worker that two homes use at once after a host joined, and against a moved
+// worker that stays unused.
+TEST(slot_sharing, moved_worker_is_used_after_the_old_leases_lapsed)
+{
+    domain d{2, 40, 1};
+    auto& joining = *d.hosts[1];
+    joining.sharing.set_members(d.now, {{"e0", 1.0, true}});
+    joining.sharing.set_members(d.now, d.members);
+    EXPECT_EQ(joining.pool.capacity(service).total_slots, 0U);
+    d.now += milliseconds{2099};
+    joining.sharing.tick(d.now, d.random);
+    EXPECT_EQ(joining.pool.capacity(service).total_slots, 0U);
+    d.now += milliseconds{1};
+    joining.sharing.tick(d.now, d.random);
+    EXPECT_EQ(joining.pool.capacity(service).total_slots +
+                  d.hosts[0]->pool.capacity(service).total_slots,
+              160U);
+}
+
+// Guards against workers that move between hosts which neither joined nor left, and against
+// shares that don't follow the weights.
+RC_GTEST_PROP(home_map, only_workers_of_the_changed_host_move, ())
+{
+    std::vector<member> members;
+    const int hosts = *rc::gen::inRange(2, 12);
+    for (int i = 0; i < hosts; ++i)
+        members.push_back({"e" + std::to_string(i), 1.0 + i % 3, true});
+    const auto changed = static_cast<std::size_t>(*rc::gen::inRange(0, hosts));
+    const home_map before{members};
+    members[changed].live = false;
+    const home_map after{members};
+    std::map<std::string, int, std::less<>> counts;
+    for (int i = 0; i < 3000; ++i) {
+        const auto name = "w" + std::to_string(i);
+        const auto old = before.home(name);
+        ++counts[std::string{old}];
+        RC_ASSERT(old == members[changed].host || after.home(name) == old);
+        RC_ASSERT(after.home(name) != members[changed].host);
+    }
+    double weights = 0;
+    for (const auto& m : members)
+        weights += m.weight;
+    for (const auto& m : members)
+        RC_ASSERT(std::abs(counts[m.host] - 3000 * m.weight / weights) < 150);
+}
+
+} // namespace
+} // namespace chivewharf::upstream
