--- /dev/null
+++ b/modules/ownership/ownership_log_state.cpp
@@ -0,0 +1,1 @@
+#include <ownership/ownership.h>
