Implement submission and ownership

Cause: the headers had stubs only. Change: ids, issuer, index and table of submissions; ownership records, the fold of the log and the decisions of one incarnation.

--- a/modules/ownership/ownership_log_state.h
+++ b/modules/ownership/ownership_log_state.h
@@ -46,9 +46,9 @@
     /// Offset from which to read on.
     std::uint64_t next_offset() const noexcept { return next_; }
 
-    /// Epoch for a claim of the slot: one more than the current one. If nothing is known of the
-    /// slot because records were missed, the next offset plus 1, which exceeds every epoch, since
-    /// each epoch took at least one record.
+    /// Epoch for a claim of the slot: one more than the current one. If the slot is uncertain, the
+    /// next offset plus 1, which exceeds every epoch, since each epoch took at least one record.
+    /// Readers therefore accept any claim whose epoch is greater than the current one.
     std::uint64_t claim_epoch(unsigned number) const;
 
     bool operator==(const ownership_log_state&) const = default;
--- /dev/null
+++ b/modules/ownership/slot_owner.cpp
@@ -0,0 +1,370 @@
+#include <ownership/slot_owner.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewharf::ownership {
+
+slot_owner::slot_owner(incarnation_id self, time_point started, ownership_options options)
+    : self_{std::move(self)}, started_{started}, options_{options}
+{
+}
+
+duration slot_owner::with_drift(duration d) const
+{
+    return d + from_seconds(to_seconds(d) * options_.clock_drift);
+}
+
+void slot_owner::set_seats(std::vector<std::string> others, time_point may_claim_from)
+{
+    seats_ = std::move(others);
+    seats_known_ = true;
+    may_claim_from_ = may_claim_from;
+}
+
+void slot_owner::set_live_hosts(std::vector<std::string> others)
+{
+    live_ = std::move(others);
+}
+
+// Log.
+
+ownership_changes slot_owner::on_log(const log_read& read, time_point now)
+{
+    ownership_changes changes;
+    if (log_.note_first(read.first)) {
+        // A claim of another host may be among the missed records.
+        for (unsigned slot = 0; slot < slot_count; ++slot) {
+            disown(slot, changes);
+            slots_[slot].last_seen = now;
+        }
+    }
+    for (const auto& [offset, text] : read.records)
+        take(log_.apply(offset, text), now, changes);
+    if (read.reached_end) {
+        last_end_read_ = std::max(last_end_read_, read.asked_at);
+        forget_settled();
+    }
+    return changes;
+}
+
+void slot_owner::take(const applied_record& applied, time_point now, ownership_changes& changes)
+{
+    if (!applied.record)
+        return;
+    for (const auto slot : applied.slots)
+        slots_[slot].last_seen = now;
+    const auto& body = applied.record->body;
+    if (const auto* claim = std::get_if<claim_record>(&body); claim && !applied.slots.empty())
+        take_claim(*claim, applied, now, changes);
+    const auto* handover = std::get_if<handover_record>(&body);
+    if (handover != nullptr && !applied.slots.empty())
+        take_handover(*handover, now, changes);
+    const auto mine = pending_.find(applied.record->record_id);
+    if (mine == pending_.end())
+        return;
+    for (const auto slot : applied.slots)
+        extend_lease(slot, mine->second.sent);
+    if (!mine->second.claim)
+        next_renewal_ = mine->second.sent + options_.renew_interval;
+    pending_.erase(mine);
+}
+
+void slot_owner::take_claim(const claim_record& claim, const applied_record& applied,
+                            time_point now, ownership_changes& changes)
+{
+    disown(claim.at.slot, changes);
+    if (claim.owner != self_)
+        return;
+    if (own_slots().empty())
+        next_renewal_ = now + options_.renew_interval;
+    own(claim.at.slot, claim.at.epoch,
+        applied.first_owned.empty() ? now + options_.id_lifetime : time_point::min());
+    changes.gained.push_back(claim.at.slot);
+}
+
+void slot_owner::take_handover(const handover_record& handover, time_point now,
+                               ownership_changes& changes)
+{
+    const auto number = handover.at.slot;
+    disown(number, changes);
+    if (handover.to != self_)
+        return;
+    const slot_info& slot = slots_[number];
+    own(number, handover.at.epoch + 1,
+        slot.received == handover.at ? slot.received_quarantine : now + options_.id_lifetime);
+    // The handover gives no lease, because this incarnation did not read its clock before it.
+    next_renewal_ = now;
+    changes.gained.push_back(number);
+}
+
+void slot_owner::own(unsigned slot, std::uint64_t epoch, time_point quarantine_until)
+{
+    slot_info& info = slots_[slot];
+    info.epoch = epoch;
+    info.handed_over = false;
+    info.proof_until = time_point::min();
+    info.lease_start = time_point::min();
+    info.quarantine_until = quarantine_until;
+}
+
+void slot_owner::disown(unsigned slot, ownership_changes& changes)
+{
+    if (std::exchange(slots_[slot].epoch, 0) != 0)
+        changes.lost.push_back(slot);
+}
+
+void slot_owner::extend_lease(unsigned slot, time_point sent)
+{
+    slot_info& info = slots_[slot];
+    if (info.epoch == 0 || info.handed_over)
+        return;
+    info.lease_start = std::max(info.lease_start, sent);
+    info.proof_until = std::max(info.proof_until, sent + options_.lease);
+}
+
+void slot_owner::forget_settled()
+{
+    std::erase_if(pending_, [this](const auto& entry) {
+        return entry.second.sent + options_.append_settle <= last_end_read_;
+    });
+}
+
+void slot_owner::on_append(const std::string& record_id, append_outcome outcome, time_point now)
+{
+    const auto found = pending_.find(record_id);
+    if (found == pending_.end() || outcome == append_outcome::written)
+        return;
+    if (!found->second.claim)
+        next_renewal_ = std::min(next_renewal_, now + options_.renew_retry);
+    if (outcome == append_outcome::not_written)
+        pending_.erase(found);
+}
+
+// Actions.
+
+ownership_actions slot_owner::poll(time_point now)
+{
+    ownership_actions out;
+    extend_by_promises(now);
+    poll_renewal(now, out);
+    poll_claims(now, out);
+    poll_promises(now, out);
+    return out;
+}
+
+std::string slot_owner::next_record_id()
+{
+    return self_.host + '-' + std::to_string(self_.incarnation) + '-' +
+           std::to_string(++record_count_);
+}
+
+append_action slot_owner::make_append(ownership_record record, std::optional<unsigned> claim,
+                                      time_point now)
+{
+    record.record_id = next_record_id();
+    pending_[record.record_id] = {now, claim};
+    return {record.record_id, encode(record)};
+}
+
+void slot_owner::poll_renewal(time_point now, ownership_actions& out)
+{
+    if (now < next_renewal_)
+        return;
+    renew_record renew{self_, {}};
+    for (const slot_epoch& at : own_slots()) {
+        if (!slots_[at.slot].handed_over)
+            renew.slots.push_back(at);
+    }
+    if (renew.slots.empty())
+        return;
+    next_renewal_ = now + options_.renew_interval;
+    out.appends.push_back(make_append({{}, std::move(renew)}, std::nullopt, now));
+}
+
+bool slot_owner::claim_pending(unsigned slot) const
+{
+    return std::any_of(pending_.begin(), pending_.end(),
+                       [slot](const auto& entry) { return entry.second.claim == slot; });
+}
+
+std::size_t slot_owner::claim_rank(unsigned slot) const
+{
+    const auto own_weight = stable_hash(self_.host, slot);
+    const auto ahead =
+        static_cast<std::size_t>(std::count_if(live_.begin(), live_.end(), [&](const auto& host) {
+            return stable_hash(host, slot) > own_weight;
+        }));
+    return std::min(ahead, options_.max_claim_rank);
+}
+
+bool slot_owner::claimable(unsigned slot, time_point now) const
+{
+    const slot_info& info = slots_[slot];
+    if (info.epoch != 0 || now < info.promised_until || claim_pending(slot))
+        return false;
+    const auto wait = with_drift(options_.lease) + options_.claim_margin;
+    const bool never_owned = log_.slot(slot).epoch == 0 && log_.complete();
+    auto ready = started_ + (never_owned ? with_drift(options_.promise_hold) : wait);
+    if (!never_owned && info.last_seen != time_point::min())
+        ready = std::max(ready, info.last_seen + wait);
+    ready += claim_rank(slot) * options_.claim_stagger;
+    // A read that began after the wait shows that no renewal was written during it.
+    return last_end_read_ >= ready && now - last_end_read_ <= options_.claim_view_age;
+}
+
+void slot_owner::poll_claims(time_point now, ownership_actions& out)
+{
+    if (!claiming_ || now < may_claim_from_)
+        return;
+    auto in_flight = static_cast<std::size_t>(
+        std::count_if(pending_.begin(), pending_.end(),
+                      [](const auto& entry) { return entry.second.claim.has_value(); }));
+    for (unsigned slot = 0; slot < slot_count && in_flight < options_.max_claims_in_flight;
+         ++slot) {
+        if (!claimable(slot, now))
+            continue;
+        const claim_record claim{{slot, log_.claim_epoch(slot)}, self_};
+        out.appends.push_back(make_append({{}, claim}, slot, now));
+        ++in_flight;
+    }
+}
+
+// Promises.
+
+void slot_owner::poll_promises(time_point now, ownership_actions& out)
+{
+    if (seats_.empty() || now < next_ask_)
+        return;
+    promise_request request{self_, {}, now};
+    for (const slot_epoch& at : own_slots()) {
+        const slot_info& info = slots_[at.slot];
+        const bool needed = !info.handed_over && now < info.proof_until &&
+                            info.lease_start + options_.promise_after <= now;
+        if (needed)
+            request.slots.push_back(at);
+    }
+    if (request.slots.empty())
+        return;
+    next_ask_ = now + options_.promise_interval;
+    out.ask = std::move(request);
+}
+
+promise slot_owner::on_promise_request(const promise_request& request, time_point now)
+{
+    promise given{self_.host, {}, request.asked_at};
+    for (const slot_epoch& at : request.slots) {
+        if (at.slot >= slot_count || slots_[at.slot].epoch != 0 || claim_pending(at.slot))
+            continue;
+        const slot_state& state = log_.slot(at.slot);
+        const bool superseded =
+            state.epoch > at.epoch || (state.epoch == at.epoch && state.owner != request.owner);
+        if (superseded)
+            continue;
+        slot_info& info = slots_[at.slot];
+        info.promised_until =
+            std::max(info.promised_until, now + with_drift(options_.promise_hold));
+        given.slots.push_back(at);
+    }
+    return given;
+}
+
+void slot_owner::on_promise(const promise& given, time_point now)
+{
+    auto [found, added] = promises_.try_emplace(given.seat);
+    if (added)
+        found->second.fill(time_point::min());
+    for (const slot_epoch& at : given.slots) {
+        if (at.slot >= slot_count || slots_[at.slot].epoch != at.epoch)
+            continue;
+        auto& until = found->second[at.slot];
+        until = std::max(until, given.asked_at + options_.promise_hold);
+    }
+    extend_by_promises(now);
+}
+
+void slot_owner::extend_by_promises(time_point now)
+{
+    if (!seats_known_)
+        return;
+    for (unsigned slot = 0; slot < slot_count; ++slot) {
+        slot_info& info = slots_[slot];
+        // Promises that begin after the proof ended do not exclude a claim made in between.
+        if (info.epoch == 0 || info.handed_over || now >= info.proof_until)
+            continue;
+        auto until = last_end_read_ + options_.max_log_silence;
+        for (const auto& seat : seats_) {
+            const auto found = promises_.find(seat);
+            until =
+                std::min(until, found == promises_.end() ? time_point::min() : found->second[slot]);
+        }
+        info.proof_until = std::max(info.proof_until, until);
+    }
+}
+
+// Verdicts.
+
+slot_verdict slot_owner::may_admit(unsigned slot, time_point now) const
+{
+    const slot_info& info = slots_.at(slot);
+    if (info.epoch == 0)
+        return slot_verdict::not_owner;
+    if (info.handed_over || now >= info.proof_until)
+        return slot_verdict::unproved;
+    return now < info.quarantine_until ? slot_verdict::quarantined : slot_verdict::proved;
+}
+
+slot_verdict slot_owner::may_start(unsigned slot, std::uint64_t epoch, time_point now) const
+{
+    if (slots_.at(slot).epoch != 0 && slots_.at(slot).epoch != epoch)
+        return slot_verdict::unproved;
+    return may_admit(slot, now);
+}
+
+time_point slot_owner::proved_until(unsigned slot) const
+{
+    const slot_info& info = slots_.at(slot);
+    return info.epoch == 0 || info.handed_over ? time_point::min() : info.proof_until;
+}
+
+std::uint64_t slot_owner::own_epoch(unsigned slot) const
+{
+    return slots_.at(slot).epoch;
+}
+
+duration slot_owner::quarantine_left(unsigned slot, time_point now) const
+{
+    const auto until = slots_.at(slot).quarantine_until;
+    return until <= now ? duration::zero() : until - now;
+}
+
+std::vector<slot_epoch> slot_owner::own_slots() const
+{
+    std::vector<slot_epoch> owned;
+    for (unsigned slot = 0; slot < slot_count; ++slot) {
+        if (slots_[slot].epoch != 0)
+            owned.push_back({slot, slots_[slot].epoch});
+    }
+    return owned;
+}
+
+// Handover.
+
+std::optional<append_action> slot_owner::hand_over(unsigned slot, const incarnation_id& to)
+{
+    slot_info& info = slots_.at(slot);
+    if (info.epoch == 0)
+        return std::nullopt;
+    info.handed_over = true;
+    ownership_record record{next_record_id(), handover_record{{slot, info.epoch}, self_, to}};
+    return append_action{record.record_id, encode(record)};
+}
+
+void slot_owner::on_handover_records(const slot_epoch& at, duration quarantine, time_point now)
+{
+    slot_info& info = slots_.at(at.slot);
+    info.received = at;
+    info.received_quarantine = now + quarantine;
+}
+
+} // namespace chivewharf::ownership
--- a/modules/ownership/slot_owner.h
+++ b/modules/ownership/slot_owner.h
@@ -17,8 +17,7 @@
 /// Outcome of an append to the log.
 enum class append_outcome : std::uint8_t { written, not_written, may_have_been_written };
 
-/// Verdict on a slot at one moment. Only `proved` lets a task start or an unknown id be admitted;
-/// `quarantined` lets the tasks of ids in the table start.
+/// Verdict on a slot at one moment. Only `proved` lets an unknown id be admitted or a task start.
 enum class slot_verdict : std::uint8_t {
     proved,
     quarantined, ///< owned, but the starts of the previous owner are unknown
@@ -101,7 +100,7 @@
     /// Takes a promise of another seat.
     void on_promise(const promise& given, time_point now);
 
-    /// Verdict for an id that is not in the table.
+    /// Verdict for an id that is not in the table. Ids in the table are answered in any case.
     slot_verdict may_admit(unsigned slot, time_point now) const;
 
     /// Verdict for a start. Read the clock immediately before.
--- a/modules/submission/id_issuer.h
+++ b/modules/submission/id_issuer.h
@@ -42,11 +42,13 @@
     std::uint64_t incarnation() const noexcept { return incarnation_; }
 
 private:
-    /// Ids of one second: those from `first_seq` up to the next range.
+    /// Ids of at most one second of the boot clock and one wall second: those from `first_seq` up
+    /// to the next range. Without the bound on the boot clock, a wall clock that stands still would
+    /// let an id outlive its entry in the table.
     struct range {
         std::uint64_t first_seq;
         std::uint64_t seconds;
-        time_point last_issue;
+        time_point opened;
     };
 
     id_issuer(std::string domain, std::string host, std::uint64_t incarnation,
--- a/modules/submission/submission_table.h
+++ b/modules/submission/submission_table.h
@@ -152,8 +152,9 @@
     consequence finish_task(const submission_key& key, std::uint32_t task, std::uint32_t attempt,
                             attempt_result result, time_point now);
 
-    /// Cancels the submission. Costs time proportional to its queued tasks, and to its sent tasks
-    /// if the service is idempotent.
+    /// Cancels the submission. Costs time proportional to its queued tasks, apart from freeing
+    /// bodies and results; if the service is idempotent, all tasks are searched for those to abort.
+    /// \return `matched` is false if it is not held or has its answer; `fetch` gives the answer
     consequence cancel(const submission_key& key, time_point now);
 
     /// Fails a submission that has no final answer yet, for example with `retry_budget_spent`,
@@ -167,8 +168,9 @@
     /// Earliest time at which `tick` has work; none if the table is empty.
     std::optional<time_point> next_due() const;
 
-    /// The submission while its answer is kept or it is under way; null if it is not held or bare.
-    /// The payload of an ended task is empty. The pointer is valid until the next change.
+    /// The submission while it is under way or its answer is kept; null if it is not held or bare.
+    /// The payload of a task that is done is empty, and `tasks` is empty once the submission has
+    /// its answer. The pointer is valid until the next change.
     const submission_request* request(const submission_key& key) const;
 
     /// True if the id is held in any state.
@@ -217,10 +219,15 @@
     reception receive(record& held, std::optional<waiter> who);
     consequence settle(std::uint32_t number, outcome result, reason why, std::string message,
                        time_point now);
-    void apply(live_submission& live, std::uint32_t index, attempt_result& result);
-    void release_bodies(live_submission& live);
-    bool expire_answer(time_point now);
-    bool expire_id(time_point now);
+    consequence end_attempt(std::uint32_t number, std::uint32_t task, attempt_result result,
+                            time_point now);
+    consequence end_done(std::uint32_t number, std::uint32_t task, attempt_result result,
+                         time_point now);
+    consequence end_not_run(std::uint32_t number, std::uint32_t task, time_point now);
+    consequence end_lost(std::uint32_t number, std::uint32_t task, attempt_result result,
+                         time_point now);
+    void make_bare(std::uint32_t number);
+    bool step(time_point now, std::vector<expired_submission>& expired);
 
     table_options options_;
     held_index index_;
