--- /dev/null
+++ b/modules/wire/messages.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include <array>
+#include <base/digest.h>
+#include <base/enum_names.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace chivewharf::wire {
+
+/// Version of the schema that this build speaks. A peer with another major version is refused.
+inline constexpr std::uint16_t schema_major = 1;
+inline constexpr std::uint16_t schema_minor = 0;
+
+using nonce = std::array<std::uint8_t, 16>;
+
+// Bodies are opaque bytes here: the modules that own the records parse them. Names, addresses and
+// ids are text. Durations are whole milliseconds.
+
+/// First frame in each direction: who speaks. The nonce is fresh for each link.
+struct hello {
+    std::uint16_t major = schema_major;
+    std::uint16_t minor = schema_minor;
+    std::string domain;
+    std::string host;
+    std::uint64_t incarnation = 0;
+    wire::nonce nonce{};
+    bool operator==(const hello&) const = default;
+};
+
+/// Second frame in each direction: proves that the sender holds the peer key.
+struct proof {
+    sha256_digest hmac{};
+    bool operator==(const proof&) const = default;
+};
+
+/// Keeps a link alive on which nothing else was sent.
+struct ping {
+    bool operator==(const ping&) const = default;
+};
+
+/// What a forwarded request asks the owner to do.
+enum class operation : std::uint8_t { submit, fetch, cancel };
+
+/// A caller's request, passed to the host that owns the id. It is never forwarded again.
+struct forward {
+    std::uint64_t request_id = 0;
+    std::string customer;
+    std::string submission_id;
+    wire::operation operation = operation::submit;
+    std::uint32_t wait_ms = 0;
+    std::string body;
+    bool operator==(const forward&) const = default;
+};
+
+/// Answer to `forward`: HTTP status and outcome body.
+struct forward_answer {
+    std::uint64_t request_id = 0;
+    std::uint16_t status = 0;
+    std::string body;
+    bool operator==(const forward_answer&) const = default;
+};
+
+/// Liveness of the sender, to its watchers. `view` is a hash of the members it holds as live.
+struct heartbeat {
+    std::uint64_t incarnation = 0;
+    std::uint32_t sequence = 0;
+    std::uint64_t view = 0;
+    bool operator==(const heartbeat&) const = default;
+};
+
+/// State of a member in a report.
+enum class member_state : std::uint8_t { live, suspected, removed };
+
+/// What the sender of a report holds about one host.
+struct member_entry {
+    std::string domain;
+    std::string host;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::uint32_t sequence = 0;
+    member_state state = member_state::live;
+    std::uint32_t silence_ms = 0;       ///< time since the sender knows the host to have spoken
+    std::uint32_t age_ms = 0;           ///< time since the host joined
+    std::vector<std::uint64_t> retired; ///< incarnations that this one replaced
+    bool operator==(const member_entry&) const = default;
+};
+
+/// Membership changes, questions about suspected hosts, or a whole table (`sync` asks for one).
+struct member_report {
+    std::vector<member_entry> entries;
+    bool sync = false;
+    bool operator==(const member_report&) const = default;
+};
+
+/// One half of an averaging exchange. `keys` and `values` have the same length; values are
+/// slot-seconds a second.
+struct usage_average {
+    std::uint32_t exchange = 0;
+    std::uint32_t epoch = 0;
+    bool reply = false;
+    std::vector<std::uint32_t> keys;
+    std::vector<float> values;
+    bool operator==(const usage_average&) const = default;
+};
+
+/// Asks a home entry host for worker slots of a service.
+struct slot_request {
+    std::string service;
+    std::uint32_t slots = 0;
+    bool operator==(const slot_request&) const = default;
+};
+
+/// Lends slots of a worker for the lease.
+struct slot_grant {
+    std::uint64_t grant_id = 0;
+    std::string worker;
+    std::uint32_t slots = 0;
+    std::uint32_t lease_ms = 0;
+    bool operator==(const slot_grant&) const = default;
+};
+
+/// Gives lent slots back early.
+struct slot_return {
+    std::uint64_t grant_id = 0;
+    std::string worker;
+    std::uint32_t slots = 0;
+    bool operator==(const slot_return&) const = default;
+};
+
+/// Asks a seat to promise not to claim ownership slots of the domain.
+struct promise_request {
+    std::string domain;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool operator==(const promise_request&) const = default;
+};
+
+/// The promise, for `promised_ms` from the moment the request was sent.
+struct promise {
+    std::string domain;
+    std::uint64_t sequence = 0;
+    std::uint32_t promised_ms = 0;
+    bool operator==(const promise&) const = default;
+};
+
+/// Records of an ownership slot, passed to its next owner. `last` marks the final part.
+struct handover_records {
+    std::uint16_t slot = 0;
+    std::uint64_t epoch = 0;
+    bool last = false;
+    std::string body;
+    bool operator==(const handover_records&) const = default;
+};
+
+/// Configuration version in force at the sender.
+struct config_version {
+    std::uint64_t version = 0;
+    bool operator==(const config_version&) const = default;
+};
+
+/// Asks for the record of a configuration version.
+struct config_request {
+    std::uint64_t version = 0;
+    bool operator==(const config_request&) const = default;
+};
+
+/// A configuration record.
+struct config_record {
+    std::uint64_t version = 0;
+    std::string body;
+    bool operator==(const config_record&) const = default;
+};
+
+/// A task that has not started, passed to another domain. It is never spilled again.
+struct spill_task {
+    std::uint64_t request_id = 0;
+    std::string customer;
+    std::string service;
+    std::string kind;
+    std::uint32_t deadline_ms = 0;
+    std::string body;
+    bool operator==(const spill_task&) const = default;
+};
+
+/// Answer to `spill_task`.
+struct spill_answer {
+    std::uint64_t request_id = 0;
+    std::uint16_t status = 0;
+    std::string body;
+    bool operator==(const spill_answer&) const = default;
+};
+
+/// Every message between entry hosts.
+using message = std::variant<hello, proof, ping, forward, forward_answer, heartbeat, member_report,
+                             usage_average, slot_request, slot_grant, slot_return, promise_request,
+                             promise, handover_records, config_version, config_request,
+                             config_record, spill_task, spill_answer>;
+
+/// Name of the message's type, for logs and counters.
+std::string_view name_of(const message& m);
+
+} // namespace chivewharf::wire
+
+namespace chivewharf {
+
+template <>
+struct enum_names<wire::operation> {
+    static constexpr std::array<std::string_view, 3> names{"submit", "fetch", "cancel"};
+};
+
+template <>
+struct enum_names<wire::member_state> {
+    static constexpr std::array<std::string_view, 3> names{"live", "suspected", "removed"};
+};
+
+} // namespace chivewharf
