--- /dev/null
+++ b/modules/wire/frame_codec.cpp
@@ -0,0 +1,469 @@
+#include <wire/frame_codec.h>
+
+#include <algorithm>
+#include <concepts>
+#include <cstring>
+#include <flatbuffers/flatbuffers.h>
+#include <type_traits>
+#include <utility>
+#include <vector>
+#include <wire/generated/frame_generated.h>
+
+namespace chivewharf::wire {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// Smallest buffer that can hold a root table: root offset, vtable and vtable offset.
+constexpr std::size_t min_frame_bytes = 12;
+// A frame holds at most the root, one body and the entries of a report.
+constexpr flatbuffers::uoffset_t max_tables = max_report_entries + 2;
+constexpr flatbuffers::uoffset_t max_depth = 8;
+constexpr std::size_t initial_builder_bytes = 256;
+
+// Writing: one overload for each message.
+
+auto bytes(FlatBufferBuilder& b, std::string_view data)
+{
+    return b.CreateVector(reinterpret_cast<const std::uint8_t*>(data.data()), data.size());
+}
+
+template <std::size_t N>
+auto bytes(FlatBufferBuilder& b, const std::array<std::uint8_t, N>& data)
+{
+    return b.CreateVector(data.data(), data.size());
+}
+
+auto text(FlatBufferBuilder& b, const std::string& s)
+{
+    return b.CreateString(s);
+}
+
+auto write(FlatBufferBuilder& b, const hello& m)
+{
+    return fbs::Createhello(b, m.major, m.minor, text(b, m.domain), text(b, m.host), m.incarnation,
+                            bytes(b, m.nonce));
+}
+
+auto write(FlatBufferBuilder& b, const proof& m)
+{
+    return fbs::Createproof(b, bytes(b, m.hmac));
+}
+
+auto write(FlatBufferBuilder& b, const ping&)
+{
+    return fbs::Createping(b);
+}
+
+auto write(FlatBufferBuilder& b, const forward& m)
+{
+    return fbs::Createforward(b, m.request_id, text(b, m.customer), text(b, m.submission_id),
+                              static_cast<std::uint8_t>(m.operation), m.wait_ms, bytes(b, m.body));
+}
+
+auto write(FlatBufferBuilder& b, const forward_answer& m)
+{
+    return fbs::Createforward_answer(b, m.request_id, m.status, bytes(b, m.body));
+}
+
+auto write(FlatBufferBuilder& b, const heartbeat& m)
+{
+    return fbs::Createheartbeat(b, m.incarnation, m.sequence, m.view);
+}
+
+auto write(FlatBufferBuilder& b, const member_entry& m)
+{
+    return fbs::Createmember_entry(b, text(b, m.domain), text(b, m.host), text(b, m.address),
+                                   m.incarnation, m.sequence, static_cast<std::uint8_t>(m.state),
+                                   m.silence_ms, m.age_ms, b.CreateVector(m.retired));
+}
+
+auto write(FlatBufferBuilder& b, const member_report& m)
+{
+    std::vector<Offset<fbs::member_entry>> entries;
+    entries.reserve(m.entries.size());
+    for (const auto& entry : m.entries)
+        entries.push_back(write(b, entry));
+    return fbs::Createmember_report(b, b.CreateVector(entries), m.sync);
+}
+
+auto write(FlatBufferBuilder& b, const usage_average& m)
+{
+    return fbs::Createusage_average(b, m.exchange, m.epoch, m.reply, b.CreateVector(m.keys),
+                                    b.CreateVector(m.values));
+}
+
+auto write(FlatBufferBuilder& b, const slot_request& m)
+{
+    return fbs::Createslot_request(b, text(b, m.service), m.slots);
+}
+
+auto write(FlatBufferBuilder& b, const slot_grant& m)
+{
+    return fbs::Createslot_grant(b, m.grant_id, text(b, m.worker), m.slots, m.lease_ms);
+}
+
+auto write(FlatBufferBuilder& b, const slot_return& m)
+{
+    return fbs::Createslot_return(b, m.grant_id, text(b, m.worker), m.slots);
+}
+
+auto write(FlatBufferBuilder& b, const promise_request& m)
+{
+    return fbs::Createpromise_request(b, text(b, m.domain), m.incarnation, m.sequence);
+}
+
+auto write(FlatBufferBuilder& b, const promise& m)
+{
+    return fbs::Createpromise(b, text(b, m.domain), m.sequence, m.promised_ms);
+}
+
+auto write(FlatBufferBuilder& b, const handover_records& m)
+{
+    return fbs::Createhandover_records(b, m.slot, m.epoch, m.last, bytes(b, m.body));
+}
+
+auto write(FlatBufferBuilder& b, const config_version& m)
+{
+    return fbs::Createconfig_version(b, m.version);
+}
+
+auto write(FlatBufferBuilder& b, const config_request& m)
+{
+    return fbs::Createconfig_request(b, m.version);
+}
+
+auto write(FlatBufferBuilder& b, const config_record& m)
+{
+    return fbs::Createconfig_record(b, m.version, bytes(b, m.body));
+}
+
+auto write(FlatBufferBuilder& b, const spill_task& m)
+{
+    return fbs::Createspill_task(b, m.request_id, text(b, m.customer), text(b, m.service),
+                                 text(b, m.kind), m.deadline_ms, bytes(b, m.body));
+}
+
+auto write(FlatBufferBuilder& b, const spill_answer& m)
+{
+    return fbs::Createspill_answer(b, m.request_id, m.status, bytes(b, m.body));
+}
+
+// Reading: one overload for each table. Each returns false if a field is absent or out of range.
+
+bool take(std::string& to, const flatbuffers::String* from)
+{
+    if (from == nullptr || from->size() > max_name_bytes)
+        return false;
+    to = from->str();
+    return true;
+}
+
+// A vector that is absent is empty.
+bool take(std::string& to, const flatbuffers::Vector<std::uint8_t>* from)
+{
+    if (from != nullptr)
+        to.assign(reinterpret_cast<const char*>(from->data()), from->size());
+    return true;
+}
+
+template <std::size_t N>
+bool take(std::array<std::uint8_t, N>& to, const flatbuffers::Vector<std::uint8_t>* from)
+{
+    if (from == nullptr || from->size() != N)
+        return false;
+    std::memcpy(to.data(), from->data(), N);
+    return true;
+}
+
+template <class T>
+void take(std::vector<T>& to, const flatbuffers::Vector<T>* from)
+{
+    if (from != nullptr)
+        to.assign(from->begin(), from->end());
+}
+
+template <class Enum>
+bool take(Enum& to, std::uint8_t from)
+{
+    to = static_cast<Enum>(from);
+    return from < enum_count<Enum>;
+}
+
+bool read(hello& m, const fbs::hello& t)
+{
+    m.major = t.major();
+    m.minor = t.minor();
+    m.incarnation = t.incarnation();
+    return take(m.domain, t.domain()) && take(m.host, t.host()) && take(m.nonce, t.nonce());
+}
+
+bool read(proof& m, const fbs::proof& t)
+{
+    return take(m.hmac, t.hmac());
+}
+
+bool read(ping&, const fbs::ping&)
+{
+    return true;
+}
+
+bool read(forward& m, const fbs::forward& t)
+{
+    m.request_id = t.request_id();
+    m.wait_ms = t.wait_ms();
+    return take(m.customer, t.customer()) && take(m.submission_id, t.submission_id()) &&
+           take(m.operation, t.operation()) && take(m.body, t.body());
+}
+
+// `forward_answer` and `spill_answer` have the same fields.
+template <class Message, class Table>
+requires std::same_as<Message, forward_answer> || std::same_as<Message, spill_answer>
+bool read(Message& m, const Table& t)
+{
+    m.request_id = t.request_id();
+    m.status = t.status();
+    return take(m.body, t.body());
+}
+
+bool read(heartbeat& m, const fbs::heartbeat& t)
+{
+    m = {t.incarnation(), t.sequence(), t.view()};
+    return true;
+}
+
+bool read(member_entry& m, const fbs::member_entry& t)
+{
+    m.incarnation = t.incarnation();
+    m.sequence = t.sequence();
+    m.silence_ms = t.silence_ms();
+    m.age_ms = t.age_ms();
+    if (t.retired() != nullptr && t.retired()->size() > max_retired_incarnations)
+        return false;
+    take(m.retired, t.retired());
+    return take(m.domain, t.domain()) && take(m.host, t.host()) &&
+           (t.address() == nullptr || take(m.address, t.address())) && take(m.state, t.state());
+}
+
+bool read(member_report& m, const fbs::member_report& t)
+{
+    m.sync = t.sync();
+    if (t.entries() == nullptr)
+        return true;
+    if (t.entries()->size() > max_report_entries)
+        return false;
+    m.entries.resize(t.entries()->size());
+    for (flatbuffers::uoffset_t i = 0; i < t.entries()->size(); ++i) {
+        if (!read(m.entries[i], *t.entries()->Get(i)))
+            return false;
+    }
+    return true;
+}
+
+bool read(usage_average& m, const fbs::usage_average& t)
+{
+    m.exchange = t.exchange();
+    m.epoch = t.epoch();
+    m.reply = t.reply();
+    take(m.keys, t.keys());
+    take(m.values, t.values());
+    return m.keys.size() == m.values.size();
+}
+
+bool read(slot_request& m, const fbs::slot_request& t)
+{
+    m.slots = t.slots();
+    return take(m.service, t.service());
+}
+
+bool read(slot_grant& m, const fbs::slot_grant& t)
+{
+    m.grant_id = t.grant_id();
+    m.slots = t.slots();
+    m.lease_ms = t.lease_ms();
+    return take(m.worker, t.worker());
+}
+
+bool read(slot_return& m, const fbs::slot_return& t)
+{
+    m.grant_id = t.grant_id();
+    m.slots = t.slots();
+    return take(m.worker, t.worker());
+}
+
+bool read(promise_request& m, const fbs::promise_request& t)
+{
+    m.incarnation = t.incarnation();
+    m.sequence = t.sequence();
+    return take(m.domain, t.domain());
+}
+
+bool read(promise& m, const fbs::promise& t)
+{
+    m.sequence = t.sequence();
+    m.promised_ms = t.promised_ms();
+    return take(m.domain, t.domain());
+}
+
+bool read(handover_records& m, const fbs::handover_records& t)
+{
+    m.slot = t.slot();
+    m.epoch = t.epoch();
+    m.last = t.last();
+    return take(m.body, t.body());
+}
+
+bool read(config_version& m, const fbs::config_version& t)
+{
+    m.version = t.version();
+    return true;
+}
+
+bool read(config_request& m, const fbs::config_request& t)
+{
+    m.version = t.version();
+    return true;
+}
+
+bool read(config_record& m, const fbs::config_record& t)
+{
+    m.version = t.version();
+    return take(m.body, t.body());
+}
+
+bool read(spill_task& m, const fbs::spill_task& t)
+{
+    m.request_id = t.request_id();
+    m.deadline_ms = t.deadline_ms();
+    return take(m.customer, t.customer()) && take(m.service, t.service()) &&
+           take(m.kind, t.kind()) && take(m.body, t.body());
+}
+
+using decoded = result<message, wire_error>;
+
+template <class Message, class Table>
+decoded read_as(const void* table)
+{
+    Message m;
+    if (table == nullptr || !read(m, *static_cast<const Table*>(table))) {
+        return unexpected(wire_error{wire_errc::missing_field,
+                                     "a field of " + std::string{name_of(message{Message{}})} +
+                                         " is absent or out of range"});
+    }
+    return message{std::move(m)};
+}
+
+using reader = decoded (*)(const void*);
+
+// In the order of the union `body` after NONE, which is the order of the alternatives of `message`.
+constexpr std::array<reader, std::variant_size_v<message>> readers{
+    read_as<hello, fbs::hello>,
+    read_as<proof, fbs::proof>,
+    read_as<ping, fbs::ping>,
+    read_as<forward, fbs::forward>,
+    read_as<forward_answer, fbs::forward_answer>,
+    read_as<heartbeat, fbs::heartbeat>,
+    read_as<member_report, fbs::member_report>,
+    read_as<usage_average, fbs::usage_average>,
+    read_as<slot_request, fbs::slot_request>,
+    read_as<slot_grant, fbs::slot_grant>,
+    read_as<slot_return, fbs::slot_return>,
+    read_as<promise_request, fbs::promise_request>,
+    read_as<promise, fbs::promise>,
+    read_as<handover_records, fbs::handover_records>,
+    read_as<config_version, fbs::config_version>,
+    read_as<config_request, fbs::config_request>,
+    read_as<config_record, fbs::config_record>,
+    read_as<spill_task, fbs::spill_task>,
+    read_as<spill_answer, fbs::spill_answer>,
+};
+static_assert(static_cast<std::size_t>(fbs::body::MAX) == readers.size());
+
+decoded decode(std::string_view buffer)
+{
+    // FlatBuffers reads through aligned pointers, and the stream is not aligned.
+    std::vector<std::uint64_t> aligned((buffer.size() + 7) / 8);
+    std::memcpy(aligned.data(), buffer.data(), buffer.size());
+    const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
+    flatbuffers::Verifier verifier{data, buffer.size(), max_depth, max_tables};
+    if (!fbs::VerifyframeBuffer(verifier)) {
+        return unexpected(
+            wire_error{wire_errc::verification_failed, "frame of " + std::to_string(buffer.size()) +
+                                                           " bytes is not a valid buffer"});
+    }
+    const auto* frame = fbs::Getframe(data);
+    const auto type = static_cast<std::size_t>(frame->body_type());
+    if (type == 0 || type > readers.size()) {
+        return unexpected(wire_error{wire_errc::unknown_type,
+                                     "message type " + std::to_string(type) + " is not known"});
+    }
+    return readers[type - 1](frame->body());
+}
+
+std::size_t read_length(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    return length;
+}
+
+} // namespace
+
+std::string encode(const message& m)
+{
+    FlatBufferBuilder builder{initial_builder_bytes};
+    const auto body = std::visit([&](const auto& x) { return write(builder, x).Union(); }, m);
+    builder.Finish(fbs::Createframe(builder, static_cast<fbs::body>(m.index() + 1), body));
+    const std::size_t size = builder.GetSize();
+    std::string frame;
+    frame.reserve(length_bytes + size);
+    for (std::size_t i = 0; i < length_bytes; ++i)
+        frame.push_back(static_cast<char>((size >> (8 * i)) & 0xffU));
+    frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+    return frame;
+}
+
+void frame_decoder::feed(std::string_view bytes)
+{
+    if (error_)
+        return;
+    buffer_.erase(0, start_);
+    start_ = 0;
+    buffer_.append(bytes);
+}
+
+result<std::optional<message>, wire_error> frame_decoder::next()
+{
+    if (error_)
+        return unexpected(*error_);
+    const auto rest = std::string_view{buffer_}.substr(start_);
+    if (rest.size() < length_bytes)
+        return std::nullopt;
+    const std::size_t length = read_length(rest);
+    if (length < min_frame_bytes)
+        return fail({wire_errc::bad_length, "frame length " + std::to_string(length)});
+    if (length > limit_) {
+        return fail({wire_errc::too_large, "frame length " + std::to_string(length) +
+                                               " exceeds the limit of " + std::to_string(limit_)});
+    }
+    if (rest.size() < length_bytes + length)
+        return std::nullopt;
+    auto m = decode(rest.substr(length_bytes, length));
+    if (!m)
+        return fail(std::move(m.error()));
+    start_ += length_bytes + length;
+    return std::optional<message>{std::move(*m)};
+}
+
+unexpected<wire_error> frame_decoder::fail(wire_error error)
+{
+    error_ = std::move(error);
+    buffer_ = {};
+    start_ = 0;
+    return unexpected(*error_);
+}
+
+} // namespace chivewharf::wire
--- a/modules/wire/frame_codec.h
+++ b/modules/wire/frame_codec.h
@@ -18,8 +18,14 @@
 /// Largest frame before the handshake is done: a stranger must not make the host hold memory.
 inline constexpr std::size_t max_handshake_frame_bytes = 512;
 
-/// Frame of the message, with its length. The caller keeps bodies small enough: a frame above
-/// `max_frame_bytes` is refused by the peer's decoder.
+/// Longest name, id or address, and most entries in a member report. FlatBuffers lets many offsets
+/// share one string, so without these limits a small frame could decode into gigabytes.
+inline constexpr std::size_t max_name_bytes = 255;
+inline constexpr std::size_t max_report_entries = 1024;
+inline constexpr std::size_t max_retired_incarnations = 64;
+
+/// Frame of the message, with its length. The caller keeps to the limits above: a frame beyond
+/// them is refused by the peer's decoder.
 std::string encode(const message& m);
 
 /// Cuts a stream of bytes into messages. It starts with the limit of an unauthenticated link. Feed
--- /dev/null
+++ b/modules/wire/tests/wire_test.cpp
@@ -0,0 +1,246 @@
+#include <wire/wire.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace chivewharf::wire {
+namespace {
+
+const std::string blob{"\0{\"a\":1}\xff", 9};
+
+// One of each message, with no field at its default.
+std::vector<message> every_message()
+{
+    const member_entry entry{"d1", "h1", "10.0.0.1:1", 5, 6, member_state::removed, 7, 8, {9, 10}};
+    nonce n{};
+    n.fill(7);
+    sha256_digest hmac{};
+    hmac.fill(9);
+    return {hello{1, 2, "d1", "h1", 77, n},
+            proof{hmac},
+            ping{},
+            forward{1, "coldquay", "d1:x", operation::cancel, 250, blob},
+            forward_answer{2, 502, blob},
+            heartbeat{3, 4, 5},
+            member_report{{entry, entry}, true},
+            usage_average{1, 2, true, {3, 4}, {0.5F, 1.5F}},
+            slot_request{"plugdesk", 4},
+            slot_grant{1, "w1", 2, 2000},
+            slot_return{1, "w1", 2},
+            promise_request{"d1", 2, 3},
+            promise{"d1", 3, 10000},
+            handover_records{63, 2, true, blob},
+            config_version{790},
+            config_request{791},
+            config_record{791, blob},
+            spill_task{1, "c", "s", "k", 2000, blob},
+            spill_answer{1, 200, blob}};
+}
+
+std::string all_frames()
+{
+    std::string stream;
+    for (const auto& m : every_message())
+        stream += encode(m);
+    return stream;
+}
+
+frame_decoder open_decoder()
+{
+    frame_decoder decoder;
+    decoder.handshake_done();
+    return decoder;
+}
+
+wire_errc error_of(frame_decoder& decoder, std::string_view bytes)
+{
+    decoder.feed(bytes);
+    auto got = decoder.next();
+    return got ? wire_errc::unexpected_message : got.error().code;
+}
+
+// Guards against a field that is lost or swapped, a reader in the wrong place of the table, and
+// frames that are cut wrongly when they arrive in pieces.
+TEST(frame_codec, every_message_survives_a_round_trip_byte_by_byte)
+{
+    const auto sent = every_message();
+    ASSERT_EQ(sent.size(), std::variant_size_v<message>);
+    auto decoder = open_decoder();
+    std::vector<message> received;
+    for (const char byte : all_frames()) {
+        decoder.feed({&byte, 1});
+        auto got = decoder.next();
+        ASSERT_TRUE(got) << got.error().message;
+        if (*got)
+            received.push_back(std::move(**got));
+    }
+    ASSERT_EQ(received.size(), sent.size());
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        EXPECT_EQ(received[i].index(), i);
+        EXPECT_TRUE(received[i] == sent[i]) << name_of(sent[i]);
+    }
+    EXPECT_EQ(decoder.buffered(), 0U);
+}
+
+// Guards against a stranger who makes the host hold memory, and against an error that is forgotten
+// so that the decoder reads on in the middle of a frame.
+TEST(frame_codec, limits_and_errors_are_typed_and_final)
+{
+    frame_decoder strict;
+    EXPECT_EQ(error_of(strict, std::string_view{"\x01\x02\0\0", 4}), wire_errc::too_large);
+    EXPECT_EQ(error_of(strict, encode(ping{})), wire_errc::too_large);
+    EXPECT_EQ(strict.buffered(), 0U);
+    auto open = open_decoder();
+    EXPECT_EQ(error_of(open, std::string_view{"\x01\0\x40\0", 4}), wire_errc::too_large);
+    auto tiny = open_decoder();
+    EXPECT_EQ(error_of(tiny, std::string_view{"\x03\0\0\0", 4}), wire_errc::bad_length);
+    auto garbage = open_decoder();
+    EXPECT_EQ(error_of(garbage, std::string{"\x10\0\0\0", 4} + std::string(16, '\x7f')),
+              wire_errc::verification_failed);
+    hello longest{1, 0, std::string(128, 'd'), std::string(128, 'h'), 1, {}};
+    EXPECT_LE(encode(longest).size(), max_handshake_frame_bytes);
+}
+
+// Guards against values that the verifier accepts but this build cannot represent: an enumerator
+// out of range, vectors of different length, and names long enough to multiply memory.
+TEST(frame_codec, refuses_values_out_of_range)
+{
+    member_entry odd_state;
+    odd_state.state = static_cast<member_state>(3);
+    const std::vector<message> bad{
+        forward{1, "c", "s", static_cast<operation>(3), 0, ""},
+        usage_average{1, 1, false, {1, 2}, {1.0F}},
+        slot_request{std::string(max_name_bytes + 1, 's'), 1},
+        member_report{std::vector<member_entry>(max_report_entries + 1), false},
+        member_report{{odd_state}, false}};
+    for (const auto& m : bad) {
+        auto decoder = open_decoder();
+        const auto code = error_of(decoder, encode(m));
+        EXPECT_TRUE(code == wire_errc::missing_field || code == wire_errc::verification_failed)
+            << name_of(m) << ' ' << to_name(code);
+    }
+    auto decoder = open_decoder();
+    auto unknown = encode(ping{});
+    // The type byte is the only one with the value 3 (ping is third in the union).
+    const auto at = unknown.find('\x03', length_bytes);
+    ASSERT_NE(at, std::string::npos);
+    unknown[at] = '\x63';
+    EXPECT_EQ(error_of(decoder, unknown), wire_errc::unknown_type);
+}
+
+// Guards against a crash, an over-read or an allocation beyond the input on hostile bytes: valid
+// frames with random changes, in pieces of random size. The sanitizers judge the reads.
+RC_GTEST_PROP(frame_codec_fuzz, mutated_frames_never_break_the_decoder, ())
+{
+    static const auto valid = all_frames();
+    rng random{*rc::gen::arbitrary<std::uint64_t>()};
+    for (int round = 0; round < 50; ++round) {
+        auto stream = valid;
+        for (auto edits = random() % 8; edits > 0; --edits)
+            stream[random() % stream.size()] = static_cast<char>(random());
+        if (random() % 4 == 0)
+            stream.erase(random() % stream.size(), random() % 64);
+        auto decoder = open_decoder();
+        std::size_t decoded = 0;
+        for (std::size_t at = 0; at < stream.size();) {
+            const std::size_t size = std::min<std::size_t>(1 + random() % 200, stream.size() - at);
+            decoder.feed({stream.data() + at, size});
+            at += size;
+            auto got = decoder.next();
+            while (got && *got) {
+                ++decoded;
+                got = decoder.next();
+            }
+            RC_ASSERT(decoder.buffered() <= stream.size());
+        }
+        RC_ASSERT(decoded <= every_message().size());
+    }
+}
+
+struct two_sides {
+    rng random{11};
+    time_point start{};
+    handshake a{link_side::connecting, {1, 0, "d", "a", 1, {}}, "key", random, start};
+    handshake b{link_side::accepting, {1, 0, "d", "b", 2, {}}, "key", random, start};
+
+    static message answer(handshake& side, const message& m, time_point now)
+    {
+        return **side.receive(m, now);
+    }
+};
+
+wire_errc code_of(const result<std::optional<message>, wire_error>& r)
+{
+    return r ? wire_errc::bad_length : r.error().code;
+}
+
+// Guards against a handshake that does not complete, or that counts as done on one side's word.
+TEST(handshake, completes_only_after_the_peers_proof)
+{
+    two_sides s;
+    const auto proof_a = two_sides::answer(s.a, s.b.greeting(), s.start);
+    const auto proof_b = two_sides::answer(s.b, s.a.greeting(), s.start);
+    EXPECT_FALSE(s.a.done());
+    ASSERT_TRUE(s.a.receive(proof_b, s.start));
+    ASSERT_TRUE(s.b.receive(proof_a, s.start));
+    EXPECT_TRUE(s.a.done() && s.b.done());
+    EXPECT_EQ(s.a.peer()->host, "b");
+    EXPECT_TRUE(s.a.check(s.start + seconds{9}));
+    EXPECT_EQ(code_of(s.a.receive(proof_b, s.start)), wire_errc::unexpected_message);
+}
+
+// Guards against a peer without the key, one that plays our own messages back, one that speaks
+// another version, one that skips a step, and one that never finishes.
+TEST(handshake, refuses_impostors)
+{
+    two_sides s;
+    EXPECT_EQ(code_of(s.a.receive(proof{}, s.start)), wire_errc::unexpected_message);
+    EXPECT_EQ(code_of(s.a.receive(ping{}, s.start)), wire_errc::unexpected_message);
+    EXPECT_EQ(code_of(s.a.receive(s.a.greeting(), s.start)), wire_errc::reflected);
+    auto own_incarnation = s.b.greeting();
+    own_incarnation.incarnation = 1;
+    EXPECT_EQ(code_of(s.a.receive(own_incarnation, s.start)), wire_errc::reflected);
+    auto other_version = s.b.greeting();
+    other_version.major = schema_major + 1;
+    EXPECT_EQ(code_of(s.a.receive(other_version, s.start)), wire_errc::version_mismatch);
+
+    const auto own_proof = two_sides::answer(s.a, s.b.greeting(), s.start);
+    EXPECT_EQ(code_of(s.a.receive(own_proof, s.start)), wire_errc::reflected);
+    handshake stranger{link_side::accepting, s.b.greeting(), "other key", s.random, s.start};
+    const auto wrong = two_sides::answer(stranger, s.a.greeting(), s.start);
+    EXPECT_EQ(code_of(s.a.receive(wrong, s.start)), wire_errc::wrong_proof);
+    EXPECT_FALSE(s.a.done());
+    EXPECT_TRUE(s.a.check(s.start + milliseconds{1999}));
+    EXPECT_EQ(s.a.check(s.start + seconds{2}).error().code, wire_errc::deadline_passed);
+    EXPECT_EQ(code_of(s.a.receive(wrong, s.start + seconds{2})), wire_errc::deadline_passed);
+}
+
+// Guards against a proof that can be replayed on a later link: it must depend on both nonces.
+TEST(handshake, proof_of_an_earlier_link_is_refused)
+{
+    two_sides first;
+    const auto old_proof = two_sides::answer(first.b, first.a.greeting(), first.start);
+    two_sides later;
+    handshake again{link_side::connecting, {1, 0, "d", "a", 1, {}}, "key", later.random, {}};
+    ASSERT_TRUE(again.receive(first.b.greeting(), later.start));
+    EXPECT_EQ(code_of(again.receive(old_proof, later.start)), wire_errc::wrong_proof);
+}
+
+// Guards against a silent link that is kept, and against pings on a busy link.
+TEST(link_monitor, pings_when_idle_and_closes_when_silent)
+{
+    const time_point start{};
+    link_monitor monitor{start};
+    EXPECT_EQ(monitor.check(start + milliseconds{499}), link_action::none);
+    EXPECT_EQ(monitor.check(monitor.next_check()), link_action::send_ping);
+    monitor.on_sent(start + milliseconds{1400});
+    EXPECT_EQ(monitor.next_check(), start + milliseconds{1500});
+    EXPECT_EQ(monitor.check(start + milliseconds{1499}), link_action::none);
+    EXPECT_EQ(monitor.check(start + milliseconds{1500}), link_action::close);
+    monitor.on_received(start + milliseconds{1499});
+    EXPECT_EQ(monitor.check(start + milliseconds{1500}), link_action::none);
+}
+
+} // namespace
+} // namespace chivewharf::wire
