--- /dev/null
+++ b/modules/settings/cluster_settings.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <base/digest.h>
+#include <base/result.h>
+#include <base/time.h>
+#include <cstdint>
+#include <map>
+#include <settings/document.h>
+#include <settings/endpoint.h>
+#include <settings/settings_error.h>
+#include <string>
+#include <vector>
+
+namespace chivewharf::settings {
+
+/// Failure domain.
+struct domain_settings {
+    std::string name;
+    std::string region;
+
+    bool operator==(const domain_settings&) const = default;
+};
+
+/// Entry host (seat).
+struct entry_host_settings {
+    std::string name;
+    std::string domain;
+    endpoint peer_address; ///< where the other entry hosts connect
+    double weight = 1;     ///< relative size, (0, 1000]
+
+    bool operator==(const entry_host_settings&) const = default;
+};
+
+/// Customer. Shares are fractions of the slots of a service, by service name.
+struct customer_settings {
+    std::string name;
+    sha256_digest token_sha256{};
+    double weight = 1;                ///< share of a service relative to other customers
+    double rate = 1000;               ///< tasks a second
+    double burst = 2000;              ///< tasks; the depth of the token bucket
+    std::int64_t max_running = 10000; ///< tasks that run at the same time in a domain
+    std::map<std::string, double> min_share;
+    std::map<std::string, double> max_share; ///< a service that is absent has no maximum
+
+    bool operator==(const customer_settings&) const = default;
+};
+
+/// Operator, who may use `/v1/admin`.
+struct operator_settings {
+    std::string name;
+    sha256_digest token_sha256{};
+
+    bool operator==(const operator_settings&) const = default;
+};
+
+/// Service that tasks ask for.
+struct service_settings {
+    std::string name;
+    bool idempotent = false;                  ///< may a single request run more than once
+    duration default_deadline{2'000'000'000}; ///< when a submission names none
+    duration max_deadline{30'000'000'000};
+    std::int64_t max_queued = 20000; ///< tasks queued in an entry host
+
+    bool operator==(const service_settings&) const = default;
+};
+
+/// Worker.
+struct upstream_settings {
+    std::string name;
+    endpoint address;
+    std::string domain;
+    std::string service;
+    std::int64_t slots = 8;        ///< tasks at the same time
+    std::int64_t connections = 60; ///< open connections from all entry hosts together
+
+    bool operator==(const upstream_settings&) const = default;
+};
+
+/// Limits on callers (section 3).
+struct caller_settings {
+    std::int64_t max_body_bytes = 1 << 20;
+    std::int64_t max_tasks = 210;
+    duration header_timeout{5'000'000'000};
+    std::int64_t max_connections = 2000;
+    std::int64_t max_id_bytes = 128;
+
+    bool operator==(const caller_settings&) const = default;
+};
+
+/// Tunable constants. The defaults are the figures of the design page.
+struct policy_settings {
+    // Table of submissions.
+    duration id_lifetime{300'000'000'000};
+    duration answer_keep{60'000'000'000};
+    std::int64_t table_max_entries = 1'000'000;
+    std::int64_t table_max_bytes = 48 << 20;
+    // Ownership slots.
+    duration lease{45'000'000'000};
+    duration lease_renew{15'000'000'000};
+    double clock_drift = 0.01; ///< largest relative drift between two clocks
+    duration claim_margin{500'000'000};
+    duration promise{10'000'000'000};
+    duration promise_renew{3'000'000'000};
+    duration unreadable_log_limit{4'500'000'000'000}; ///< longest service without the log
+    duration new_seat_wait{5'400'000'000'000};        ///< before an added seat may claim
+    // Workers.
+    std::int64_t eject_failures = 3; ///< in a row
+    double eject_failure_share = 0.5;
+    std::int64_t eject_window = 10; ///< tasks
+    std::int64_t eject_min_tasks = 5;
+    double eject_pool_ratio = 3;
+    double eject_max_share = 0.3;
+    duration eject_first{5'000'000'000};
+    duration eject_longest{60'000'000'000};
+    std::int64_t restore_successes = 2;
+    double straggler_ratio = 0.25;
+    duration grant{2'000'000'000};
+    duration host_list_poll{1'000'000'000};
+    std::int64_t upstream_max_connections = 4096; ///< of one entry host
+    // Queues, estimates and retries.
+    std::int64_t max_queued_per_customer = 10'000;
+    std::int64_t max_queued_total = 50'000;
+    double declared_weight = 3; ///< observations that a declared run time counts for
+    double retry_ratio = 0.1;
+    double retry_cap = 100;
+    duration backoff_first{10'000'000};
+    duration backoff_longest{1'000'000'000};
+    // Peers.
+    duration ping{500'000'000};
+    duration link_silent{1'500'000'000};
+    duration handshake_timeout{2'000'000'000};
+    duration heartbeat{500'000'000};
+    std::int64_t watchers = 3;
+    duration suspect{1'500'000'000};
+    duration refute{1'000'000'000};
+    duration ramp{10'000'000'000};
+    double ramp_start = 0.1;
+    duration usage_exchange{1'000'000'000};
+    duration usage_restart{16'000'000'000};
+    // Platform.
+    duration platform_timeout{1'000'000'000};
+    duration log_retention{86'400'000'000'000}; ///< the platform's figure; republication uses half
+    double log_appends_per_second = 30;         ///< budget of the whole system
+
+    bool operator==(const policy_settings&) const = default;
+};
+
+/// The published part of the settings, the same in every process of a site.
+struct cluster_settings {
+    std::string site;
+    std::vector<std::string> key_domains; ///< home domains of callers' ids; fixed at run time
+    std::vector<domain_settings> domains;
+    std::vector<entry_host_settings> entry_hosts;
+    std::vector<customer_settings> customers;
+    std::vector<operator_settings> operators;
+    std::vector<service_settings> services;
+    std::vector<upstream_settings> upstreams;
+    endpoint platform_address;
+    caller_settings callers;
+    policy_settings policy;
+
+    bool operator==(const cluster_settings&) const = default;
+};
+
+/// Parses a merged document. Reports at once every unknown key, wrong type, value out of range,
+/// duplicate name, dangling name and pair of constants in the wrong order. `host` is unknown here,
+/// because it is local to a process; see `parse_host`.
+result<cluster_settings, settings_errors> parse_cluster(const document& merged);
+
+} // namespace chivewharf::settings
--- /dev/null
+++ b/modules/settings/object_reader.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <base/digest.h>
+#include <base/time.h>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <settings/document.h>
+#include <settings/endpoint.h>
+#include <settings/settings_error.h>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Private to module settings: reading of objects by tables of fields.
+
+namespace chivewharf::settings {
+
+/// Place of a value in a document. Nodes are on the stack of the parse functions; text is made only
+/// for errors.
+struct path_node {
+    const path_node* parent = nullptr;
+    std::string_view key;  ///< key in an object; empty for an array element
+    std::size_t index = 0; ///< index in an array
+    bool is_index = false;
+
+    path_node at(std::string_view name) const { return {this, name, 0, false}; }
+    path_node at(std::size_t i) const { return {this, {}, i, true}; }
+};
+
+/// Collects the errors of one document.
+class error_sink {
+public:
+    explicit error_sink(const document& merged) : merged_(merged) {}
+
+    /// \param value the rejected value; null if it is absent
+    void add(const path_node& path, const nlohmann::json* value, std::string expected);
+
+    /// Adds an error whose value is a secret.
+    void add_hidden(const path_node& path, std::string expected);
+
+    settings_errors take() { return std::move(errors_); }
+    bool empty() const noexcept { return errors_.empty(); }
+
+private:
+    const document& merged_;
+    settings_errors errors_;
+};
+
+/// What a string may hold.
+enum class text_rule : std::uint8_t {
+    name,   ///< 1 to 63 letters, digits, `-` and `_`, because names are parts of ids and headers
+    path,   ///< 1 to 4095 bytes without NUL
+    secret, ///< 16 to 256 bytes, never shown
+};
+
+/// Range of a number (durations in milliseconds, endpoints by port) and rule of a string.
+struct value_rule {
+    double low = 0;
+    double high = 0;
+    text_rule text = text_rule::name;
+};
+
+/// Pointer to a member of any type that a field can have.
+template <class T>
+using member_pointer =
+    std::variant<std::int64_t T::*, double T::*, bool T::*, std::string T::*, duration T::*,
+                 endpoint T::*, std::optional<endpoint> T::*, sha256_digest T::*,
+                 std::vector<std::string> T::*, std::map<std::string, double> T::*>;
+
+/// One key of an object.
+template <class T>
+struct field {
+    std::string_view key;
+    member_pointer<T> member;
+    bool required = false;
+    value_rule rule{};
+};
+
+using json_ref = const nlohmann::json&;
+
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, std::int64_t& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, double& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, bool& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, std::string& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, duration& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, endpoint& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r,
+          std::optional<endpoint>& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r, sha256_digest& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r,
+          std::vector<std::string>& out);
+void read(json_ref v, const path_node& p, error_sink& e, const value_rule& r,
+          std::map<std::string, double>& out);
+
+/// True if the value is an object; otherwise adds the error.
+bool expect_object(json_ref value, const path_node& path, error_sink& errors);
+
+/// Adds an error for each key that no entry of the table has. Entries have a member `key`.
+template <class Table>
+void reject_unknown_keys(json_ref object, const path_node& path, error_sink& errors,
+                         const Table& table)
+{
+    for (const auto& item : object.items()) {
+        bool known = false;
+        for (const auto& entry : table)
+            known = known || entry.key == item.key();
+        if (known)
+            continue;
+        std::string expected = "one of the keys";
+        for (const auto& entry : table)
+            (expected += ' ') += entry.key;
+        errors.add(path.at(item.key()), &item.value(), std::move(expected));
+    }
+}
+
+/// Fills an aggregate from an object.
+template <class T>
+void read_object(json_ref value, const path_node& path, error_sink& errors,
+                 std::span<const field<T>> fields, T& out)
+{
+    if (!expect_object(value, path, errors))
+        return;
+    reject_unknown_keys(value, path, errors, fields);
+    for (const auto& f : fields) {
+        const auto place = path.at(f.key);
+        const auto found = value.find(f.key);
+        if (found != value.end())
+            std::visit([&](auto member) { read(*found, place, errors, f.rule, out.*member); },
+                       f.member);
+        else if (f.required)
+            errors.add(place, nullptr, "a value");
+    }
+}
+
+/// Fills a vector from an array of objects. Elements with errors keep their place, so that indices
+/// in later errors match the file.
+template <class T>
+void read_list(json_ref value, const path_node& path, error_sink& errors,
+               std::span<const field<T>> fields, std::vector<T>& out)
+{
+    if (!value.is_array()) {
+        errors.add(path, &value, "an array of objects");
+        return;
+    }
+    out.resize(value.size());
+    for (std::size_t i = 0; i < out.size(); ++i)
+        read_object(value[i], path.at(i), errors, fields, out[i]);
+}
+
+} // namespace chivewharf::settings
