--- /dev/null
+++ b/modules/daemon/caller_gateway.cpp
@@ -0,0 +1,327 @@
+#include <daemon/caller_gateway.h>
+
+#include <algorithm>
+#include <base/log_line.h>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace chivewharf::daemon {
+
+using runtime::http_exchange;
+using runtime::http_response;
+
+namespace {
+
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::string_view submissions_path = "/v1/submissions/";
+constexpr std::string_view admin_submissions_path = "/v1/admin/submissions/";
+constexpr std::string_view admin_customers_path = "/v1/admin/customers/";
+constexpr std::uint64_t max_ids = 1000;
+constexpr std::uint64_t max_wait_ms = 3'600'000;
+
+/// Number of a query parameter: none if it is absent, an error text if it is out of range.
+result<std::optional<std::uint64_t>, std::string> query_number(const runtime::http_request& request,
+                                                               const std::string& name,
+                                                               std::uint64_t least,
+                                                               std::uint64_t greatest)
+{
+    const auto found = request.query.find(name);
+    if (found == request.query.end())
+        return std::nullopt;
+    const auto& text = found->second;
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || value < least ||
+        value > greatest)
+        return unexpected{name + ": \"" + text + "\" is not a number from " +
+                          std::to_string(least) + " to " + std::to_string(greatest)};
+    return std::optional{value};
+}
+
+http_response to_response(dispatch::caller_answer answer)
+{
+    http_response response;
+    response.status = answer.status;
+    response.body = std::move(answer.body);
+    if (answer.retry_after > duration{0}) {
+        const auto whole = (to_ms(answer.retry_after) + 999) / 1000;
+        response.headers.push_back({"Retry-After", std::to_string(whole)});
+        response.headers.push_back(
+            {"Chivewharf-Retry-After-Ms", std::to_string(to_ms(answer.retry_after))});
+    }
+    return response;
+}
+
+} // namespace
+
+// Longer paths stand before their prefixes.
+const caller_gateway::route caller_gateway::routes[] = {
+    {"POST", "/v1/submissions", false, false, &caller_gateway::submit},
+    {"GET", submissions_path, true, false, &caller_gateway::fetch},
+    {"DELETE", submissions_path, true, false, &caller_gateway::cancel},
+    {"POST", "/v1/ids", false, false, &caller_gateway::issue_ids},
+    {"GET", "/metrics", false, true, &caller_gateway::serve_metrics},
+    {"GET", "/v1/admin/status", false, true, &caller_gateway::status},
+    {"GET", admin_submissions_path, true, true, &caller_gateway::describe_submission},
+    {"GET", admin_customers_path, true, true, &caller_gateway::describe_customer},
+    {"POST", "/v1/admin/drain", false, true, &caller_gateway::drain},
+    {"POST", "/v1/admin/undrain", false, true, &caller_gateway::undrain},
+};
+
+caller_gateway::caller_gateway(core_loop& loop, metrics::registry& metrics, std::string address,
+                               runtime::tls_files tls)
+    : loop_{loop}, metrics_{metrics}, address_{std::move(address)}, tls_{std::move(tls)},
+      refusals_{metrics.reasons("chivewharf_refusals_total")},
+      response_time_{metrics.histogram("chivewharf_response_seconds")}
+{
+}
+
+runtime::http_limits
+caller_gateway::limits_of(const settings::cluster_settings& settings) const
+{
+    return {static_cast<std::size_t>(settings.callers.max_body_bytes),
+            static_cast<std::size_t>(settings.callers.max_connections),
+            settings.callers.header_timeout};
+}
+
+result<void, runtime::runtime_error>
+caller_gateway::start(std::function<void(runtime::runtime_error)> /*failed*/)
+{
+    server_ = std::make_unique<runtime::http_server>(
+        limits_of(loop_.core().settings()),
+        [this](const exchange_ptr& exchange) { handle(exchange); },
+        [this](reason why) { return limit_response(why); });
+    const auto port = server_->listen(address_, tls_);
+    if (!port)
+        return unexpected{port.error()};
+    port_ = *port;
+    log_line{"callers_listening"}.add("address", address_).add("port", int{port_}).write();
+    return {};
+}
+
+void caller_gateway::stop()
+{
+    server_.reset();
+    open_.clear();
+}
+
+void caller_gateway::apply(const settings::cluster_settings& settings)
+{
+    if (server_)
+        server_->set_limits(limits_of(settings));
+}
+
+http_response caller_gateway::limit_response(reason why)
+{
+    refusals_.add(why);
+    auto refusal = dispatch::render_refusal(why, work_state::not_run, {});
+    return to_response(std::move(refusal));
+}
+
+void caller_gateway::refuse(http_exchange& exchange, reason why, std::string message)
+{
+    refusals_.add(why);
+    exchange.respond(
+        to_response(dispatch::render_refusal(why, work_state::not_run, {}, std::move(message))));
+}
+
+std::optional<dispatch::principal>
+caller_gateway::authenticate(const http_exchange& exchange) const
+{
+    const auto field = exchange.header("Authorization");
+    if (!field || !field->starts_with(bearer_prefix))
+        return std::nullopt;
+    return loop_.core().authenticate(field->substr(bearer_prefix.size()));
+}
+
+bool caller_gateway::handle_probe(http_exchange& exchange)
+{
+    const auto& path = exchange.request().path;
+    if (path != "/healthz" && path != "/readyz")
+        return false;
+    const bool good = path == "/healthz" || ready_;
+    exchange.respond({good ? 200U : 503U, good ? "ok\n" : "not ready\n", "text/plain", {}});
+    return true;
+}
+
+void caller_gateway::handle(const exchange_ptr& exchange)
+{
+    if (handle_probe(*exchange))
+        return;
+    const auto who = authenticate(*exchange);
+    if (!who) {
+        refuse(*exchange, reason::unauthenticated);
+        return;
+    }
+    const auto& request = exchange->request();
+    for (const auto& one : routes) {
+        const bool matches =
+            one.prefix ? request.path.starts_with(one.path) : request.path == one.path;
+        if (!matches || request.method != one.method)
+            continue;
+        if (one.for_operators != who->is_operator) {
+            refuse(*exchange, reason::forbidden);
+            return;
+        }
+        (this->*one.handle)(exchange, *who);
+        return;
+    }
+    refuse(*exchange, reason::unknown_route, request.method + ' ' + request.path);
+}
+
+void caller_gateway::submit(const exchange_ptr& exchange, const dispatch::principal& who)
+{
+    const auto id = exchange->header("Idempotency-Key");
+    if (!id) {
+        refuse(*exchange, reason::missing_id, "header Idempotency-Key is missing");
+        return;
+    }
+    ask_core(exchange, wire::operation::submit, who, std::string{*id});
+}
+
+void caller_gateway::fetch(const exchange_ptr& exchange, const dispatch::principal& who)
+{
+    ask_core(exchange, wire::operation::fetch, who,
+             exchange->request().path.substr(submissions_path.size()));
+}
+
+void caller_gateway::cancel(const exchange_ptr& exchange, const dispatch::principal& who)
+{
+    ask_core(exchange, wire::operation::cancel, who,
+             exchange->request().path.substr(submissions_path.size()));
+}
+
+void caller_gateway::ask_core(const exchange_ptr& exchange, wire::operation operation,
+                              const dispatch::principal& who, std::string id)
+{
+    const auto& request = exchange->request();
+    const auto wait = query_number(request, "wait_ms", 0, max_wait_ms);
+    if (!wait) {
+        refuse(*exchange, reason::malformed_request, wait.error());
+        return;
+    }
+    const auto max_id = static_cast<std::size_t>(loop_.core().settings().callers.max_id_bytes);
+    if (id.size() > max_id) {
+        refuse(*exchange, reason::invalid_id,
+               "the id is longer than " + std::to_string(max_id) + " bytes");
+        return;
+    }
+    const auto waiter = next_waiter_++;
+    open_.emplace(waiter, open_request{exchange, boot_clock::now()});
+    exchange->on_disconnect([this, waiter] {
+        open_.erase(waiter);
+        loop_.event([waiter](auto& core, const auto& at) { core.caller_gone(waiter, at); });
+    });
+    dispatch::caller_request asked{waiter,        operation, who.name, std::move(id),
+                                   std::string{request.body}, {}};
+    if (*wait)
+        asked.wait = milliseconds{**wait};
+    loop_.event(
+        [&asked](auto& core, const auto& at) { core.request(std::move(asked), at); });
+}
+
+void caller_gateway::answer(dispatch::answer_caller one)
+{
+    const auto found = open_.find(one.waiter);
+    if (found == open_.end())
+        return;
+    const auto request = std::move(found->second);
+    open_.erase(found);
+    response_time_.observe(boot_clock::now() - request.arrived);
+    auto response = to_response(std::move(one.answer));
+    auto next = loop_.core().issue_ids(1, core_loop::now());
+    response.headers.push_back({"Chivewharf-Next-Id", std::move(next.front())});
+    request.exchange->respond(std::move(response));
+}
+
+void caller_gateway::issue_ids(const exchange_ptr& exchange, const dispatch::principal& /*who*/)
+{
+    const auto count = query_number(exchange->request(), "count", 1, max_ids);
+    if (!count) {
+        refuse(*exchange, reason::malformed_request, count.error());
+        return;
+    }
+    const auto ids = loop_.core().issue_ids(count->value_or(1), core_loop::now());
+    exchange->respond({200, nlohmann::json{{"ids", ids}}.dump(), "application/json", {}});
+}
+
+void caller_gateway::serve_metrics(const exchange_ptr& exchange,
+                                   const dispatch::principal& /*who*/)
+{
+    metrics_.gauge("chivewharf_open_connections") =
+        static_cast<double>(server_->open_connections());
+    exchange->respond(
+        {200, metrics_.prometheus_text(), "text/plain; version=0.0.4; charset=utf-8", {}});
+}
+
+void caller_gateway::status(const exchange_ptr& exchange, const dispatch::principal& /*who*/)
+{
+    exchange->respond({200, loop_.core().status_json(), "application/json", {}});
+}
+
+void caller_gateway::describe_submission(const exchange_ptr& exchange,
+                                         const dispatch::principal& /*who*/)
+{
+    const auto& request = exchange->request();
+    const auto customer = request.query.find("customer");
+    if (customer == request.query.end()) {
+        refuse(*exchange, reason::malformed_request, "query parameter customer is missing");
+        return;
+    }
+    const auto id = request.path.substr(admin_submissions_path.size());
+    exchange->respond({200, loop_.core().submission_json(customer->second, id, boot_clock::now()),
+                       "application/json",
+                       {}});
+}
+
+void caller_gateway::describe_customer(const exchange_ptr& exchange,
+                                       const dispatch::principal& /*who*/)
+{
+    const auto name = exchange->request().path.substr(admin_customers_path.size());
+    auto report = loop_.core().customer_json(name, boot_clock::now());
+    if (!report) {
+        refuse(*exchange, reason::unknown_route, "customer \"" + name + "\" does not exist");
+        return;
+    }
+    exchange->respond({200, std::move(*report), "application/json", {}});
+}
+
+void caller_gateway::drain(const exchange_ptr& exchange, const dispatch::principal& who)
+{
+    set_drained(exchange, who, true);
+}
+
+void caller_gateway::undrain(const exchange_ptr& exchange, const dispatch::principal& who)
+{
+    set_drained(exchange, who, false);
+}
+
+void caller_gateway::set_drained(const exchange_ptr& exchange, const dispatch::principal& who,
+                                 bool drained)
+{
+    const auto& query = exchange->request().query;
+    const auto worker = query.find("worker");
+    if (worker == query.end()) {
+        refuse(*exchange, reason::malformed_request, "query parameter worker is missing");
+        return;
+    }
+    bool known = false;
+    loop_.event([&](auto& core, const auto& at) {
+        known = core.drain_worker(worker->second, drained, at);
+    });
+    log_line{drained ? "worker_drained" : "worker_undrained"}
+        .add("worker", worker->second)
+        .add("operator", who.name)
+        .add("known", known ? "true" : "false")
+        .write();
+    ++metrics_.counter("chivewharf_operator_actions_total",
+                       drained ? "action=\"drain\"" : "action=\"undrain\"");
+    if (!known) {
+        refuse(*exchange, reason::unknown_route,
+               "worker \"" + worker->second + "\" does not exist in this domain");
+        return;
+    }
+    exchange->respond({200, R"({"ok":true})", "application/json", {}});
+}
+
+} // namespace chivewharf::daemon
--- /dev/null
+++ b/modules/daemon/peer_gateway.cpp
@@ -0,0 +1,258 @@
+#include <daemon/peer_gateway.h>
+
+#include <algorithm>
+#include <base/log_line.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <runtime/socket_address.h>
+
+namespace chivewharf::daemon {
+
+namespace {
+
+constexpr int listen_backlog = 256;
+constexpr std::size_t max_waiting = 64;
+constexpr duration connect_backoff = milliseconds{200};
+constexpr guint connect_timeout_seconds = 1;
+constexpr duration idle_limit = seconds{5};
+constexpr duration idle_check = seconds{1};
+
+/// Two hosts that connect to each other at once get two links within this time.
+constexpr duration simultaneous = seconds{2};
+
+} // namespace
+
+struct peer_gateway::connect_request {
+    peer_gateway* gateway;
+    std::string host;
+    runtime::gobject_ptr<GCancellable> cancellable;
+};
+
+peer_gateway::peer_gateway(core_loop& loop, metrics::registry& metrics, std::string address,
+                           std::string key, std::uint64_t seed)
+    : loop_{loop}, metrics_{metrics}, address_{std::move(address)}, key_{std::move(key)},
+      random_{seed}, opened_{metrics.counter("chivewharf_peer_links_opened_total")},
+      closed_{metrics.counter("chivewharf_peer_links_closed_total")},
+      dropped_{metrics.counter("chivewharf_peer_messages_dropped_total")},
+      sent_bytes_{metrics.counter("chivewharf_peer_bytes_sent_total")}
+{
+}
+
+peer_gateway::~peer_gateway()
+{
+    stop();
+}
+
+result<void, runtime::runtime_error>
+peer_gateway::start(std::function<void(runtime::runtime_error)> /*failed*/)
+{
+    auto socket = runtime::open_listener(address_, listen_backlog);
+    if (!socket)
+        return unexpected{socket.error()};
+    listener_ = std::move(*socket);
+    port_ = runtime::local_port(listener_.get());
+    cancellable_.reset(g_cancellable_new());
+    client_.reset(g_socket_client_new());
+    g_socket_client_set_enable_proxy(client_.get(), FALSE);
+    g_socket_client_set_timeout(client_.get(), connect_timeout_seconds);
+    accept_source_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
+    g_source_set_callback(accept_source_, G_SOURCE_FUNC(&peer_gateway::accept_ready), this,
+                          nullptr);
+    g_source_attach(accept_source_, nullptr);
+    idle_timer_.every(idle_check, [this] { close_idle(); });
+    log_line{"peers_listening"}.add("address", address_).add("port", int{port_}).write();
+    return {};
+}
+
+void peer_gateway::stop()
+{
+    if (accept_source_ == nullptr)
+        return;
+    g_source_destroy(accept_source_);
+    g_source_unref(accept_source_);
+    accept_source_ = nullptr;
+    idle_timer_.cancel();
+    g_cancellable_cancel(cancellable_.get());
+    listener_.reset();
+    const auto open = links_;
+    for (const auto& link : open)
+        link->close("this host is stopping");
+    routes_.clear();
+}
+
+gboolean peer_gateway::accept_ready(GSocket* socket, GIOCondition /*condition*/, gpointer self)
+{
+    auto* gateway = static_cast<peer_gateway*>(self);
+    while (auto* accepted = g_socket_accept(socket, nullptr, nullptr)) {
+        const runtime::gobject_ptr<GSocket> owner{accepted};
+        g_socket_set_blocking(accepted, FALSE);
+        runtime::gobject_ptr<GSocketConnection> connection{
+            g_socket_connection_factory_create_connection(accepted)};
+        gateway->open_link(std::move(connection), wire::link_side::accepting, {});
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void peer_gateway::open_link(runtime::gobject_ptr<GSocketConnection> connection,
+                             wire::link_side side, const std::string& expected_host)
+{
+    g_socket_set_option(g_socket_connection_get_socket(connection.get()), IPPROTO_TCP,
+                        TCP_NODELAY, 1, nullptr);
+    const auto& self = loop_.core().self();
+    wire::hello greeting;
+    greeting.domain = self.domain;
+    greeting.host = self.host;
+    greeting.incarnation = self.incarnation;
+    peer_link::observer observe{
+        [this, expected_host](const link_ptr& link) { link_ready(link, expected_host); },
+        [this](const link_ptr& link, wire::message message) {
+            const auto& peer = link->peer();
+            const dispatch::peer_identity from{peer.domain, peer.host, peer.incarnation};
+            loop_.event([&](auto& core, const auto& at) {
+                core.peer_message(from, std::move(message), at);
+            });
+        },
+        [this, expected_host](const link_ptr& link, const std::string& why) {
+            link_closed(link, expected_host, why);
+        }};
+    links_.insert(peer_link::open(std::move(connection), side, std::move(greeting), key_, random_,
+                                  std::move(observe)));
+}
+
+std::string peer_gateway::address_of(const std::string& host) const
+{
+    for (const auto& seat : loop_.core().settings().entry_hosts) {
+        if (seat.name == host)
+            return to_text(seat.peer_address);
+    }
+    return {};
+}
+
+void peer_gateway::connect(const std::string& host, route& to)
+{
+    const auto now = boot_clock::now();
+    if (to.connecting || now < to.next_attempt)
+        return;
+    to.next_attempt = now + connect_backoff;
+    auto address = runtime::parse_socket_address(address_of(host));
+    if (!address)
+        return;
+    to.connecting = true;
+    auto* request = new connect_request{this, host, runtime::retain(cancellable_.get())};
+    g_socket_client_connect_async(client_.get(), G_SOCKET_CONNECTABLE(address->get()),
+                                  cancellable_.get(), &peer_gateway::connected, request);
+}
+
+void peer_gateway::connected(GObject* client, GAsyncResult* result, gpointer data)
+{
+    const std::unique_ptr<connect_request> request{static_cast<connect_request*>(data)};
+    GError* error = nullptr;
+    runtime::gobject_ptr<GSocketConnection> connection{
+        g_socket_client_connect_finish(G_SOCKET_CLIENT(client), result, &error)};
+    const runtime::gerror_ptr owner{error};
+    // A cancelled request belongs to a gateway that has stopped and may be gone.
+    if (g_cancellable_is_cancelled(request->cancellable.get()) != FALSE)
+        return;
+    auto* gateway = request->gateway;
+    auto& to = gateway->routes_[request->host];
+    if (!connection) {
+        to.connecting = false;
+        gateway->dropped_ += to.waiting.size();
+        to.waiting.clear();
+        return;
+    }
+    gateway->open_link(std::move(connection), wire::link_side::connecting, request->host);
+}
+
+bool peer_gateway::supersedes(const peer_link& fresh, const peer_link& old) const
+{
+    if (fresh.ready_since() - old.ready_since() > simultaneous || fresh.side() == old.side())
+        return true;
+    // Both ends keep the link that the host with the smaller name opened.
+    const bool own_is_smaller = loop_.core().self().host < fresh.peer().host;
+    return own_is_smaller == (fresh.side() == wire::link_side::connecting);
+}
+
+void peer_gateway::link_ready(const link_ptr& link, const std::string& expected_host)
+{
+    const auto& host = link->peer().host;
+    if (!expected_host.empty() && host != expected_host) {
+        link->close("the peer is " + host + ", expected " + expected_host);
+        return;
+    }
+    auto& to = routes_[host];
+    to.connecting = false;
+    ++opened_;
+    if (to.link && !supersedes(*link, *to.link)) {
+        link->close("another link to the host is in use");
+        return;
+    }
+    const auto old = std::exchange(to.link, link);
+    if (old)
+        old->close("a newer link to the host is in use");
+    log_line{"peer_link_up"}.add("host", host).write();
+    for (const auto& message : std::exchange(to.waiting, {}))
+        link->send(message);
+    if (!old)
+        loop_.event([&host](auto& core, const auto& at) { core.peer_up(host, at); });
+}
+
+void peer_gateway::link_closed(const link_ptr& link, const std::string& expected_host,
+                               const std::string& why)
+{
+    links_.erase(link);
+    sent_bytes_ += link->bytes_sent();
+    ++closed_;
+    if (!expected_host.empty())
+        routes_[expected_host].connecting = false;
+    if (!link->ready()) {
+        log_line{"peer_link_refused"}.add("host", expected_host).add("why", why).warn();
+        return;
+    }
+    const auto host = link->peer().host;
+    const auto found = routes_.find(host);
+    if (found == routes_.end() || found->second.link != link)
+        return;
+    found->second.link.reset();
+    log_line{"peer_link_down"}.add("host", host).add("why", why).write();
+    loop_.event([&host](auto& core, const auto& at) { core.peer_down(host, at); });
+}
+
+void peer_gateway::send(dispatch::send_peer one)
+{
+    auto& to = routes_[one.host];
+    if (to.link) {
+        to.link->send(one.message);
+        return;
+    }
+    connect(one.host, to);
+    if (std::holds_alternative<wire::forward>(one.message))
+        return;
+    if (to.waiting.size() == max_waiting) {
+        to.waiting.pop_front();
+        ++dropped_;
+    }
+    to.waiting.push_back(std::move(one.message));
+}
+
+std::size_t peer_gateway::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto& [host, to] : routes_)
+        count += to.waiting.size();
+    return count;
+}
+
+void peer_gateway::close_idle()
+{
+    const auto now = boot_clock::now();
+    std::vector<link_ptr> idle;
+    for (const auto& link : links_) {
+        if (link->ready() && now - link->last_used() > idle_limit)
+            idle.push_back(link);
+    }
+    for (const auto& link : idle)
+        link->close("idle");
+}
+
+} // namespace chivewharf::daemon
--- /dev/null
+++ b/modules/daemon/peer_gateway.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <base/rng.h>
+#include <daemon/core_loop.h>
+#include <daemon/peer_link.h>
+#include <deque>
+#include <map>
+#include <metrics/registry.h>
+#include <runtime/supervisor.h>
+#include <set>
+#include <string>
+
+namespace chivewharf::daemon {
+
+/// Links to the other entry hosts. A link is opened when there is a message for a host, and closed
+/// after some seconds without one, so that their number does not grow with the domain.
+class peer_gateway final : public runtime::supervised {
+public:
+    /// \param address `IP:PORT` to listen on
+    /// \param key the peer key of the settings
+    /// \param seed must be unpredictable, since nonces are drawn from it
+    peer_gateway(core_loop& loop, metrics::registry& metrics, std::string address, std::string key,
+                 std::uint64_t seed);
+    ~peer_gateway() override;
+
+    std::string name() const override { return "peers"; }
+    result<void, runtime::runtime_error>
+    start(std::function<void(runtime::runtime_error)> failed) override;
+    void stop() override;
+
+    std::uint16_t port() const noexcept { return port_; }
+
+    /// Sends the message on the host's link. Without a link one is opened; the message then waits,
+    /// except a forwarded request, which the core sends again when the link is up.
+    void send(dispatch::send_peer one);
+
+    /// Messages of all hosts that are queued or being written, for a planned stop.
+    std::size_t waiting() const;
+
+private:
+    using link_ptr = peer_link::link_ptr;
+
+    /// What is known of the way to one host.
+    struct route {
+        link_ptr link;
+        std::deque<wire::message> waiting;
+        time_point next_attempt{};
+        bool connecting = false;
+    };
+
+    struct connect_request;
+
+    static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
+    static void connected(GObject* client, GAsyncResult* result, gpointer request);
+
+    void open_link(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side,
+                   const std::string& expected_host);
+    void connect(const std::string& host, route& to);
+    std::string address_of(const std::string& host) const;
+    void link_ready(const link_ptr& link, const std::string& expected_host);
+    void link_closed(const link_ptr& link, const std::string& expected_host,
+                     const std::string& why);
+    bool supersedes(const peer_link& fresh, const peer_link& old) const;
+    void close_idle();
+
+    core_loop& loop_;
+    metrics::registry& metrics_;
+    std::string address_;
+    std::string key_;
+    rng random_;
+    runtime::gobject_ptr<GSocket> listener_;
+    GSource* accept_source_ = nullptr;
+    runtime::gobject_ptr<GSocketClient> client_;
+    runtime::gobject_ptr<GCancellable> cancellable_;
+    std::map<std::string, route> routes_;
+    std::set<link_ptr> links_;
+    runtime::timer idle_timer_;
+    std::uint16_t port_ = 0;
+    std::uint64_t& opened_;
+    std::uint64_t& closed_;
+    std::uint64_t& dropped_;
+    std::uint64_t& sent_bytes_;
+};
+
+} // namespace chivewharf::daemon
--- /dev/null
+++ b/modules/dispatch/entry_host.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <base/rng.h>
+#include <dispatch/action.h>
+#include <dispatch/customer_directory.h>
+#include <dispatch/identity.h>
+#include <dispatch/ownership_service.h>
+#include <dispatch/peer_service.h>
+#include <dispatch/request_router.h>
+#include <dispatch/submission_service.h>
+#include <dispatch/task_dispatcher.h>
+#include <memory>
+#include <metrics/registry.h>
+#include <optional>
+#include <settings/cluster_settings.h>
+#include <string>
+#include <submission/id_issuer.h>
+#include <submission/submission_table.h>
+#include <vector>
+
+namespace chivewharf::dispatch {
+
+/// All decisions of one entry host. Events and the time go in; after each event the shell carries
+/// out the actions that `take_actions` returns. It does no input or output and reads no clock, so
+/// the same code runs in the daemon, in golden sessions and under virtual time.
+class entry_host {
+public:
+    /// \param self names that the settings were checked to hold
+    /// \param peer_address `IP:PORT` where peers connect
+    /// \param seed for the random choices
+    entry_host(identity self, std::string peer_address,
+               std::shared_ptr<const settings::cluster_settings> settings,
+               metrics::registry& metrics, std::uint64_t seed, time_point now);
+    ~entry_host();
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+
+    /// Puts a configuration into force, whole, between two events.
+    /// \param may_claim_from see `ownership_service::apply`
+    void apply(std::shared_ptr<const settings::cluster_settings> settings, clock_reading now,
+               time_point may_claim_from = {});
+
+    /// Owner of a bearer token; none for an unknown token.
+    std::optional<principal> authenticate(std::string_view token) const
+    {
+        return customers_.authenticate(token);
+    }
+
+    /// Issues ids that only this process may start.
+    std::vector<std::string> issue_ids(std::size_t count, clock_reading now);
+
+    // Callers.
+    void request(caller_request asked, clock_reading now);
+    void caller_gone(submission::waiter who, clock_reading now);
+
+    // Upstreams.
+    bool confirm_start(call_id call, time_point now) const;
+    void task_ended(call_id call, call_report report, clock_reading now);
+    void platform_hosts(const upstream::platform_list& workers,
+                        const std::vector<membership::known_host>& hosts, clock_reading now);
+
+    // Peers.
+    void peer_up(const std::string& host, clock_reading now);
+    void peer_down(const std::string& host, clock_reading now);
+    void peer_message(const peer_identity& from, wire::message message, clock_reading now);
+
+    // The platform's log.
+    const std::string& ownership_stream() const { return ownership_.stream(); }
+    std::uint64_t ownership_offset() const { return ownership_.next_offset(); }
+    void ownership_read(const ownership::log_read& read, clock_reading now);
+    void append_ended(const std::string& stream, const std::string& record_id,
+                      ownership::append_outcome outcome, clock_reading now);
+
+    /// Does what is due. Call it at `next_tick` at the latest.
+    void tick(clock_reading now);
+    time_point next_tick(time_point now) const;
+
+    /// The operator's drain of a worker. False if the worker is unknown.
+    bool drain_worker(const std::string& name, bool drained, clock_reading now);
+
+    /// Begins the planned stop: new submissions are refused.
+    void begin_drain(clock_reading now);
+
+    /// True once everything in flight has ended and been answered.
+    bool drained() const;
+
+    /// Requests and tasks that an immediate end would cut.
+    std::size_t in_flight() const;
+
+    /// Hands the ownership slots to other live hosts; call it when `drained`.
+    void hand_over(clock_reading now);
+    bool handed_over() const { return ownership_.handovers_done(); }
+
+    bool superseded() const { return peers_.superseded(); }
+
+    std::vector<action> take_actions() { return actions_.take(); }
+
+    /// State for operators, as JSON.
+    std::string status_json();
+    std::string submission_json(std::string_view customer, std::string_view id,
+                                time_point now) const;
+    /// None if the customer is unknown.
+    std::optional<std::string> customer_json(std::string_view customer, time_point now) const;
+
+    const settings::cluster_settings& settings() const noexcept { return *settings_; }
+    const identity& self() const noexcept { return self_; }
+
+    /// Sets the version that status reports.
+    void set_version(std::uint64_t version) noexcept { version_ = version; }
+
+private:
+    class reply_relay;
+
+    static submission::table_options table_options_of(const settings::cluster_settings& settings);
+    static submission::id_issuer make_issuer(const identity& self, duration id_lifetime);
+    void fail_lost_slots(const std::vector<unsigned>& lost, time_point now);
+    void after_event(clock_reading now);
+
+    identity self_;
+    std::shared_ptr<const settings::cluster_settings> settings_;
+    metrics::registry& metrics_;
+    rng random_;
+    action_list actions_;
+    customer_directory customers_;
+    submission::id_issuer issuer_;
+    submission::submission_table table_;
+    ownership_service ownership_;
+    std::unique_ptr<reply_relay> relay_;
+    submission_service service_;
+    task_dispatcher dispatcher_;
+    peer_service peers_;
+    request_router router_;
+    time_point next_peer_tick_{};
+    time_point next_slot_tick_{};
+    time_point next_ownership_tick_{};
+    std::uint64_t version_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/handover_codec.cpp
@@ -0,0 +1,81 @@
+#include <dispatch/handover_codec.h>
+
+#include <algorithm>
+
+namespace chivewharf::dispatch {
+
+namespace {
+
+constexpr std::size_t records_per_part = 10'000;
+constexpr std::size_t record_bytes = 8 + 8 + 16 + 3;
+
+void put_number(std::string& out, std::uint64_t value)
+{
+    for (unsigned shift = 0; shift < 64; shift += 8)
+        out += static_cast<char>((value >> shift) & 0xffU);
+}
+
+std::uint64_t get_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    for (unsigned i = 0; i < 8; ++i)
+        value |= std::uint64_t{static_cast<unsigned char>(text[i])} << (8 * i);
+    return value;
+}
+
+void put_record(std::string& out, const submission::held_record& record)
+{
+    put_number(out, record.key.high);
+    put_number(out, record.key.low);
+    out.append(reinterpret_cast<const char*>(record.digest.data()), record.digest.size());
+    out += static_cast<char>(record.why);
+    out += static_cast<char>(record.work);
+    out += static_cast<char>(record.slot);
+}
+
+bool get_record(std::string_view text, submission::held_record& record)
+{
+    const auto why = static_cast<unsigned char>(text[32]);
+    const auto work = static_cast<unsigned char>(text[33]);
+    if (why >= enum_count<reason> || work >= enum_count<work_state>)
+        return false;
+    record.key = {get_number(text), get_number(text.substr(8))};
+    std::copy_n(text.begin() + 16, record.digest.size(), record.digest.begin());
+    record.why = static_cast<reason>(why);
+    record.work = static_cast<work_state>(work);
+    record.slot = static_cast<std::uint8_t>(text[34]);
+    return true;
+}
+
+} // namespace
+
+std::vector<record_part> encode_records(const std::vector<submission::held_record>& records)
+{
+    std::vector<record_part> parts(1);
+    std::size_t in_part = 0;
+    for (const auto& record : records) {
+        if (in_part == records_per_part) {
+            parts.emplace_back();
+            in_part = 0;
+        }
+        put_record(parts.back().text, record);
+        ++in_part;
+    }
+    parts.back().last = true;
+    return parts;
+}
+
+std::vector<submission::held_record> decode_records(std::string_view text)
+{
+    std::vector<submission::held_record> records;
+    while (text.size() >= record_bytes) {
+        submission::held_record record;
+        if (!get_record(text, record))
+            break;
+        records.push_back(record);
+        text.remove_prefix(record_bytes);
+    }
+    return records;
+}
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/overloaded.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace chivewharf::dispatch {
+
+/// Joins lambdas into one visitor for std::visit.
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/ownership_service.cpp
@@ -0,0 +1,198 @@
+#include <dispatch/ownership_service.h>
+
+#include <dispatch/handover_codec.h>
+
+namespace chivewharf::dispatch {
+
+using ownership::slot_verdict;
+
+namespace {
+
+std::vector<wire::slot_epoch> to_wire(const std::vector<ownership::slot_epoch>& slots)
+{
+    std::vector<wire::slot_epoch> out;
+    out.reserve(slots.size());
+    for (const auto& one : slots)
+        out.push_back({static_cast<std::uint16_t>(one.slot), one.epoch});
+    return out;
+}
+
+std::vector<ownership::slot_epoch> from_wire(const std::vector<wire::slot_epoch>& slots)
+{
+    std::vector<ownership::slot_epoch> out;
+    out.reserve(slots.size());
+    for (const auto& one : slots)
+        out.push_back({one.slot, one.epoch});
+    return out;
+}
+
+} // namespace
+
+ownership_service::ownership_service(identity self, const submission::id_issuer& issuer,
+                                     time_point started, action_list& actions,
+                                     metrics::registry& metrics)
+    : self_{std::move(self)}, issuer_{issuer}, actions_{actions},
+      owner_{{self_.host, self_.incarnation}, started}, stream_{"ownership." + self_.domain},
+      claims_{metrics.counter("chivewharf_ownership_appends_total")},
+      promise_requests_{metrics.counter("chivewharf_promise_requests_total")}
+{
+}
+
+void ownership_service::apply(const settings::cluster_settings& settings, time_point may_claim_from)
+{
+    other_seats_.clear();
+    for (const auto& host : settings.entry_hosts) {
+        if (host.domain == self_.domain && host.name != self_.host)
+            other_seats_.push_back(host.name);
+    }
+    owner_.set_seats(other_seats_, may_claim_from);
+}
+
+void ownership_service::set_live_hosts(std::vector<std::string> others)
+{
+    owner_.set_live_hosts(std::move(others));
+}
+
+std::vector<unsigned> ownership_service::on_log(const ownership::log_read& read, time_point now)
+{
+    auto changes = owner_.on_log(read, now);
+    for (const auto& [offset, text] : read.records) {
+        if (const auto record = ownership::decode(text))
+            handovers_.erase(record->record_id);
+    }
+    return changes.lost;
+}
+
+void ownership_service::on_append(const std::string& record_id, ownership::append_outcome outcome,
+                                  time_point now)
+{
+    owner_.on_append(record_id, outcome, now);
+    if (outcome != ownership::append_outcome::may_have_been_written)
+        handovers_.erase(record_id);
+}
+
+void ownership_service::tick(time_point now)
+{
+    auto wanted = owner_.poll(now);
+    for (auto& append : wanted.appends) {
+        ++claims_;
+        actions_.add(append_record{stream_, append.record_id, std::move(append.text)});
+    }
+    if (!wanted.ask)
+        return;
+    for (const auto& seat : other_seats_) {
+        ++promise_requests_;
+        actions_.add(send_peer{
+            seat, wire::promise_request{wanted.ask->owner.host, wanted.ask->owner.incarnation,
+                                        to_wire(wanted.ask->slots),
+                                        wanted.ask->asked_at.time_since_epoch().count()}});
+    }
+}
+
+void ownership_service::on_promise_request(const std::string& from,
+                                           const wire::promise_request& request, time_point now)
+{
+    const ownership::promise_request asked{{request.host, request.incarnation},
+                                           from_wire(request.slots),
+                                           time_point{duration{request.asked_at_ns}}};
+    const auto given = owner_.on_promise_request(asked, now);
+    actions_.add(
+        send_peer{from, wire::promise{self_.host, to_wire(given.slots), request.asked_at_ns}});
+}
+
+void ownership_service::on_promise(const wire::promise& given, time_point now)
+{
+    owner_.on_promise({given.seat, from_wire(given.slots), time_point{duration{given.asked_at_ns}}},
+                      now);
+}
+
+void ownership_service::on_handover_records(const std::string& /*from*/,
+                                            const wire::handover_records& part,
+                                            submission::submission_table& table, time_point now)
+{
+    for (const auto& record : decode_records(part.body)) {
+        if (!table.import(record, now))
+            return;
+    }
+    if (part.last)
+        owner_.on_handover_records({part.slot, part.epoch}, milliseconds{part.quarantine_ms}, now);
+}
+
+void ownership_service::hand_over(const std::vector<ownership::incarnation_id>& successors,
+                                  const submission::submission_table& table, time_point now)
+{
+    owner_.stop_claiming();
+    if (successors.empty())
+        return;
+    std::size_t turn = 0;
+    for (const auto& owned : owner_.own_slots()) {
+        const auto& to = successors[turn++ % successors.size()];
+        const auto quarantine = owner_.quarantine_left(owned.slot, now);
+        auto append = owner_.hand_over(owned.slot, to);
+        if (!append)
+            continue;
+        const auto records = table.export_slot(static_cast<std::uint8_t>(owned.slot));
+        for (auto& body : encode_records(records)) {
+            const bool last = body.last;
+            actions_.add(send_peer{
+                to.host, wire::handover_records{static_cast<std::uint16_t>(owned.slot), owned.epoch,
+                                                static_cast<std::uint32_t>(to_ms(quarantine)), last,
+                                                std::move(body.text)}});
+        }
+        handovers_.insert(append->record_id);
+        actions_.add(append_record{stream_, append->record_id, std::move(append->text)});
+    }
+}
+
+std::string ownership_service::owner_host(unsigned slot) const
+{
+    const auto& state = owner_.log().slot(slot);
+    return state.epoch == 0 ? std::string{} : state.owner.host;
+}
+
+id_verdict ownership_service::judge(const submission::submission_id& id, std::string_view customer,
+                                    time_point now) const
+{
+    if (!id.issued())
+        return judge_slot(id.slot(customer), now);
+    const auto standing = issuer_.check(*id.issued(), now);
+    id_verdict verdict;
+    verdict.may_start = standing == submission::id_standing::valid;
+    verdict.refusal = submission::refusal_for(standing);
+    return verdict;
+}
+
+id_verdict ownership_service::judge_slot(unsigned slot, time_point now) const
+{
+    id_verdict verdict;
+    verdict.slot = static_cast<std::uint8_t>(slot);
+    verdict.epoch = owner_.own_epoch(slot);
+    switch (owner_.may_admit(slot, now)) {
+    case slot_verdict::proved:
+        verdict.may_start = true;
+        break;
+    case slot_verdict::quarantined:
+        verdict.refusal = {reason::ownership_quarantine, work_state::may_have_run};
+        break;
+    case slot_verdict::unproved:
+    case slot_verdict::not_owner:
+        verdict.refusal = {reason::ownership_unproved, work_state::may_have_run};
+        break;
+    }
+    return verdict;
+}
+
+bool ownership_service::may_start(std::uint8_t slot, std::uint64_t epoch, time_point now) const
+{
+    if (slot == submission::no_slot)
+        return true;
+    const auto verdict = owner_.may_start(slot, epoch, now);
+    return verdict == slot_verdict::proved || verdict == slot_verdict::quarantined;
+}
+
+time_point ownership_service::start_limit(std::uint8_t slot) const
+{
+    return slot == submission::no_slot ? time_point::max() : owner_.proved_until(slot);
+}
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/reply_sink.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <dispatch/caller_answer.h>
+#include <submission/submission_table.h>
+
+namespace chivewharf::dispatch {
+
+/// Takes the answer to a request, wherever the request came from.
+class reply_sink {
+public:
+    reply_sink() = default;
+    reply_sink(const reply_sink&) = delete;
+    reply_sink& operator=(const reply_sink&) = delete;
+    virtual ~reply_sink() = default;
+    virtual void reply(submission::waiter who, caller_answer answer) = 0;
+};
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/request_router.cpp
@@ -0,0 +1,313 @@
+#include <dispatch/request_router.h>
+
+#include <algorithm>
+
+namespace chivewharf::dispatch {
+
+namespace {
+
+/// Numbers of waiters from this value on belong to requests of peers.
+constexpr submission::waiter first_remote_waiter = 1ULL << 63U;
+
+/// The longest wait for the answer of a forwarded request that names no wait of its own.
+constexpr duration longest_forward = seconds{60};
+
+/// Added to the caller's wait, so that the owner's own `pending` arrives first.
+constexpr duration forward_margin = milliseconds{500};
+
+/// A host without a link must come up within this time.
+constexpr duration connect_patience = seconds{2};
+
+} // namespace
+
+request_router::request_router(identity self, submission_service& service,
+                               const ownership_service& ownership,
+                               const membership::member_table& members, action_list& actions,
+                               metrics::registry& metrics)
+    : self_{std::move(self)}, service_{service}, ownership_{ownership}, members_{members},
+      actions_{actions}, next_remote_waiter_{first_remote_waiter},
+      refusals_{metrics.reasons("chivewharf_refusals_total")}, forwards_{metrics.counter(
+                                                                   "chivewharf_forwards_total")},
+      repeats_{metrics.counter("chivewharf_forwards_repeated_total")},
+      redirects_{metrics.counter("chivewharf_forwards_redirected_total")},
+      late_answers_{metrics.counter("chivewharf_forward_answers_late_total")}
+{
+}
+
+void request_router::refuse(submission::waiter who, reason why, work_state work,
+                            const std::string& id, std::string message)
+{
+    refusals_.add(why);
+    reply(who, render_refusal(why, work, id, std::move(message)));
+}
+
+void request_router::request(caller_request asked, time_point now)
+{
+    const auto id = submission::submission_id::parse(asked.id);
+    if (!id) {
+        refuse(asked.who, reason::invalid_id, work_state::not_run, asked.id, id.error().message);
+        return;
+    }
+    const auto target = route_of(*id, asked.customer);
+    if (target.local)
+        serve(asked, *id, now);
+    else if (target.host.empty())
+        refuse(asked.who, target.why, work_state::may_have_run, asked.id);
+    else
+        forward(std::move(asked), *id, target.host, now);
+}
+
+request_router::route request_router::route_of(const submission::submission_id& id,
+                                               const std::string& customer) const
+{
+    if (id.issued())
+        return route_issued(*id.issued());
+    const auto slot = id.slot(customer);
+    const std::string home{id.home_domain(customer, settings_->key_domains)};
+    if (home == self_.domain)
+        return route_own_slot(slot);
+    return {false, any_host_of(home, slot), reason::owner_unreachable};
+}
+
+request_router::route request_router::route_issued(const submission::issued_parts& parts) const
+{
+    if (parts.domain == self_.domain && parts.host == self_.host)
+        return {true, {}, reason::none};
+    if (!known_seat(parts.domain, parts.host))
+        return {false, {}, reason::owner_gone};
+    if (members_.is_retired(parts.host, parts.incarnation))
+        return {false, {}, reason::owner_gone};
+    return {false, parts.host, reason::none};
+}
+
+request_router::route request_router::route_own_slot(unsigned slot) const
+{
+    auto owner = ownership_.owner_host(slot);
+    if (owner == self_.host)
+        return {true, {}, reason::none};
+    return {false, std::move(owner), reason::ownership_unproved};
+}
+
+std::string request_router::any_host_of(const std::string& domain, unsigned slot) const
+{
+    if (const auto hint = slot_hints_.find({domain, slot}); hint != slot_hints_.end())
+        return hint->second;
+    const auto hosts = members_.links_to(domain);
+    for (const auto& host : hosts) {
+        if (links_up_.contains(host.host))
+            return host.host;
+    }
+    return hosts.empty() ? std::string{} : hosts.front().host;
+}
+
+bool request_router::known_seat(const std::string& domain, const std::string& host) const
+{
+    return std::any_of(
+        settings_->entry_hosts.begin(), settings_->entry_hosts.end(),
+        [&](const auto& seat) { return seat.domain == domain && seat.name == host; });
+}
+
+void request_router::serve(const caller_request& asked, const submission::submission_id& id,
+                           time_point now)
+{
+    const submission_call call{asked.who, asked.customer, id, asked.body, asked.wait};
+    switch (asked.operation) {
+    case wire::operation::submit:
+        service_.submit(call, now);
+        break;
+    case wire::operation::fetch:
+        service_.fetch(call, now);
+        break;
+    case wire::operation::cancel:
+        service_.cancel(call, now);
+        break;
+    }
+}
+
+void request_router::forward(caller_request asked, const submission::submission_id& id,
+                             std::string host, time_point now)
+{
+    const auto number = next_request_++;
+    pending_request pending;
+    pending.who = asked.who;
+    pending.id = asked.id;
+    pending.host = std::move(host);
+    if (!id.issued()) {
+        pending.home_domain = id.home_domain(asked.customer, settings_->key_domains);
+        pending.slot = id.slot(asked.customer);
+    }
+    const auto wait = asked.wait.value_or(longest_forward);
+    const bool linked = links_up_.contains(pending.host);
+    pending.expires = now + (linked ? wait + forward_margin : connect_patience);
+    pending.message = {number,
+                       std::move(asked.customer),
+                       std::move(asked.id),
+                       asked.operation,
+                       asked.wait ? static_cast<std::uint32_t>(to_ms(*asked.wait)) : wire::no_wait,
+                       std::move(asked.body)};
+    ++forwards_;
+    actions_.add(send_peer{pending.host, pending.message});
+    expiries_.emplace(pending.expires, number);
+    pending_of_waiter_[pending.who] = number;
+    pending_.emplace(number, std::move(pending));
+}
+
+void request_router::on_forward(const std::string& from, wire::forward asked, time_point now)
+{
+    const auto who = next_remote_waiter_++;
+    remote_waiters_.emplace(who, remote_waiter{from, asked.request_id});
+    const auto id = submission::submission_id::parse(asked.submission_id);
+    if (!id) {
+        refuse(who, reason::invalid_id, work_state::not_run, asked.submission_id);
+        return;
+    }
+    const auto target = route_of(*id, asked.customer);
+    if (target.local) {
+        caller_request local{who,
+                             asked.operation,
+                             std::move(asked.customer),
+                             std::move(asked.submission_id),
+                             std::move(asked.body),
+                             {}};
+        if (asked.wait_ms != wire::no_wait)
+            local.wait = milliseconds{asked.wait_ms};
+        serve(local, *id, now);
+        return;
+    }
+    if (id->issued() || target.host.empty()) {
+        const auto why = target.why == reason::none ? reason::owner_unreachable : target.why;
+        refuse(who, why, work_state::may_have_run, asked.submission_id);
+        return;
+    }
+    remote_waiters_.erase(who);
+    actions_.add(send_peer{from, wire::forward_answer{asked.request_id, 0, 0, target.host, {}}});
+}
+
+void request_router::on_answer(const std::string& from, wire::forward_answer answer,
+                               time_point /*now*/)
+{
+    const auto found = pending_.find(answer.request_id);
+    if (found == pending_.end() || found->second.host != from) {
+        ++late_answers_;
+        return;
+    }
+    auto& pending = found->second;
+    if (!answer.owner.empty()) {
+        slot_hints_[{pending.home_domain, pending.slot}] = answer.owner;
+        redirect(answer.request_id, answer.owner);
+        return;
+    }
+    const auto who = pending.who;
+    expiries_.erase({pending.expires, answer.request_id});
+    pending_of_waiter_.erase(who);
+    pending_.erase(found);
+    reply(who, {answer.status, std::move(answer.body), milliseconds{answer.retry_after_ms}});
+}
+
+void request_router::redirect(std::uint64_t request_id, const std::string& host)
+{
+    auto& pending = pending_.at(request_id);
+    if (pending.redirected) {
+        const auto gone = std::move(pending);
+        expiries_.erase({gone.expires, request_id});
+        pending_of_waiter_.erase(gone.who);
+        pending_.erase(request_id);
+        slot_hints_.erase({gone.home_domain, gone.slot});
+        refuse(gone.who, reason::ownership_unproved, work_state::may_have_run, gone.id);
+        return;
+    }
+    pending.redirected = true;
+    pending.host = host;
+    ++redirects_;
+    actions_.add(send_peer{host, pending.message});
+}
+
+void request_router::peer_up(const std::string& host)
+{
+    links_up_.insert(host);
+    for (auto& [number, pending] : pending_) {
+        if (pending.host != host)
+            continue;
+        expiries_.erase({pending.expires, number});
+        const duration wait = pending.message.wait_ms == wire::no_wait
+                                  ? longest_forward
+                                  : duration{milliseconds{pending.message.wait_ms}};
+        pending.expires += wait + forward_margin;
+        expiries_.emplace(pending.expires, number);
+        ++repeats_;
+        actions_.add(send_peer{host, pending.message});
+    }
+}
+
+void request_router::peer_down(const std::string& host)
+{
+    links_up_.erase(host);
+    std::vector<submission::waiter> gone;
+    for (const auto& [who, remote] : remote_waiters_) {
+        if (remote.host == host)
+            gone.push_back(who);
+    }
+    for (const auto who : gone) {
+        remote_waiters_.erase(who);
+        service_.remove_waiter(who);
+    }
+    // A message without content makes the shell open the link again while answers are due.
+    const bool waiting = std::any_of(pending_.begin(), pending_.end(), [&host](const auto& entry) {
+        return entry.second.host == host;
+    });
+    if (waiting)
+        actions_.add(send_peer{host, wire::ping{}});
+}
+
+void request_router::remove_waiter(submission::waiter who)
+{
+    const auto found = pending_of_waiter_.find(who);
+    if (found == pending_of_waiter_.end()) {
+        service_.remove_waiter(who);
+        return;
+    }
+    const auto number = found->second;
+    expiries_.erase({pending_.at(number).expires, number});
+    pending_.erase(number);
+    pending_of_waiter_.erase(found);
+}
+
+void request_router::tick(time_point now)
+{
+    while (!expiries_.empty() && expiries_.begin()->first <= now) {
+        const auto number = expiries_.begin()->second;
+        expiries_.erase(expiries_.begin());
+        const auto pending = std::move(pending_.at(number));
+        pending_.erase(number);
+        pending_of_waiter_.erase(pending.who);
+        slot_hints_.erase({pending.home_domain, pending.slot});
+        refuse(pending.who, reason::owner_unreachable, work_state::may_have_run, pending.id,
+               "no answer from entry host " + pending.host);
+    }
+}
+
+std::optional<time_point> request_router::next_due() const
+{
+    if (expiries_.empty())
+        return std::nullopt;
+    return expiries_.begin()->first;
+}
+
+void request_router::reply(submission::waiter who, caller_answer answer)
+{
+    const auto found = remote_waiters_.find(who);
+    if (found == remote_waiters_.end()) {
+        actions_.add(answer_caller{who, std::move(answer)});
+        return;
+    }
+    const auto remote = std::move(found->second);
+    remote_waiters_.erase(found);
+    actions_.add(send_peer{
+        remote.host, wire::forward_answer{remote.request_id,
+                                          static_cast<std::uint16_t>(answer.status),
+                                          static_cast<std::uint32_t>(to_ms(answer.retry_after)),
+                                          {},
+                                          std::move(answer.body)}});
+}
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/request_router.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <dispatch/action.h>
+#include <dispatch/identity.h>
+#include <dispatch/ownership_service.h>
+#include <dispatch/reply_sink.h>
+#include <dispatch/submission_service.h>
+#include <map>
+#include <membership/member_table.h>
+#include <metrics/registry.h>
+#include <optional>
+#include <set>
+#include <settings/cluster_settings.h>
+#include <string>
+#include <unordered_map>
+
+namespace chivewharf::dispatch {
+
+/// A caller's request before it is known which host is responsible for the id.
+struct caller_request {
+    submission::waiter who = 0;
+    wire::operation operation = wire::operation::submit;
+    std::string customer;
+    std::string id;
+    std::string body;
+    std::optional<duration> wait;
+};
+
+/// Sends each request to the host that is responsible for its id: to the service of this process,
+/// or over the peer link in one message, with one message back. A request that arrives from a peer
+/// is never sent on; if this host is not responsible either, the answer names the host that is,
+/// and the first host asks there once. So a request takes at most two hops.
+class request_router final : public reply_sink {
+public:
+    request_router(identity self, submission_service& service, const ownership_service& ownership,
+                   const membership::member_table& members, action_list& actions,
+                   metrics::registry& metrics);
+
+    void apply(std::shared_ptr<const settings::cluster_settings> settings)
+    {
+        settings_ = std::move(settings);
+    }
+
+    /// A request from a caller of this host.
+    void request(caller_request asked, time_point now);
+
+    /// A request that a peer forwarded.
+    void on_forward(const std::string& from, wire::forward asked, time_point now);
+
+    /// The answer to a request that this host forwarded.
+    void on_answer(const std::string& from, wire::forward_answer answer, time_point now);
+
+    /// A link to the host is ready: requests that wait for its answer are asked again, which is
+    /// safe because the owner recognises the id.
+    void peer_up(const std::string& host);
+
+    /// The link to the host ended.
+    void peer_down(const std::string& host);
+
+    /// The caller of a request has gone.
+    void remove_waiter(submission::waiter who);
+
+    /// Answers forwarded requests whose time has passed.
+    void tick(time_point now);
+
+    std::optional<time_point> next_due() const;
+    std::size_t forwarded() const noexcept { return pending_.size(); }
+
+    /// Requests of peers that have not been answered.
+    std::size_t serving_peers() const noexcept { return remote_waiters_.size(); }
+
+    void reply(submission::waiter who, caller_answer answer) override;
+
+private:
+    /// Where a request goes: this host, another host, or nowhere with a reason.
+    struct route {
+        bool local = false;
+        std::string host;
+        reason why = reason::none;
+    };
+    struct pending_request {
+        submission::waiter who = 0;
+        std::string id;
+        std::string host;
+        std::string home_domain; ///< of a caller's id, otherwise empty
+        unsigned slot = 0;
+        wire::forward message;
+        time_point expires;
+        bool redirected = false;
+    };
+    struct remote_waiter {
+        std::string host;
+        std::uint64_t request_id = 0;
+    };
+
+    route route_of(const submission::submission_id& id, const std::string& customer) const;
+    route route_issued(const submission::issued_parts& parts) const;
+    route route_own_slot(unsigned slot) const;
+    std::string any_host_of(const std::string& domain, unsigned slot) const;
+    bool known_seat(const std::string& domain, const std::string& host) const;
+    void serve(const caller_request& asked, const submission::submission_id& id, time_point now);
+    void forward(caller_request asked, const submission::submission_id& id, std::string host,
+                 time_point now);
+    void refuse(submission::waiter who, reason why, work_state work, const std::string& id,
+                std::string message = {});
+    void redirect(std::uint64_t request_id, const std::string& host);
+
+    identity self_;
+    submission_service& service_;
+    const ownership_service& ownership_;
+    const membership::member_table& members_;
+    action_list& actions_;
+    std::shared_ptr<const settings::cluster_settings> settings_;
+    std::unordered_map<std::uint64_t, pending_request> pending_;
+    std::set<std::pair<time_point, std::uint64_t>> expiries_;
+    std::unordered_map<submission::waiter, std::uint64_t> pending_of_waiter_;
+    std::unordered_map<submission::waiter, remote_waiter> remote_waiters_;
+    std::map<std::pair<std::string, unsigned>, std::string> slot_hints_;
+    std::set<std::string> links_up_;
+    std::uint64_t next_request_ = 1;
+    submission::waiter next_remote_waiter_;
+    metrics::reason_counters& refusals_;
+    std::uint64_t& forwards_;
+    std::uint64_t& repeats_;
+    std::uint64_t& redirects_;
+    std::uint64_t& late_answers_;
+};
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/submission_service.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <base/rng.h>
+#include <dispatch/customer_directory.h>
+#include <dispatch/id_authority.h>
+#include <dispatch/reply_sink.h>
+#include <dispatch/submission_decoder.h>
+#include <dispatch/task_dispatcher.h>
+#include <dispatch/waiter_registry.h>
+#include <memory>
+#include <metrics/registry.h>
+#include <optional>
+#include <settings/cluster_settings.h>
+#include <string>
+#include <string_view>
+#include <submission/submission_id.h>
+#include <submission/submission_table.h>
+
+namespace chivewharf::dispatch {
+
+/// A request about one submission, at the host that is responsible for its id.
+struct submission_call {
+    submission::waiter who = 0;
+    std::string customer;
+    submission::submission_id id;
+    std::string_view body;        ///< of a submit
+    std::optional<duration> wait; ///< none: until the deadline
+};
+
+/// Submits, fetches and cancels at the host that is responsible for the id, and answers all that
+/// wait for the same submission.
+class submission_service final : public settlement_observer {
+public:
+    /// \param authority, replies, metrics must outlive the service
+    submission_service(submission::submission_table& table, const id_authority& authority,
+                       reply_sink& replies, metrics::registry& metrics);
+
+    /// Connects the dispatcher; called once, right after construction.
+    void connect(task_dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
+
+    void apply(std::shared_ptr<const settings::cluster_settings> settings,
+               const customer_directory& customers);
+
+    void submit(const submission_call& call, time_point now);
+    void fetch(const submission_call& call, time_point now);
+    void cancel(const submission_call& call, time_point now);
+
+    /// Forgets a waiter whose connection is gone.
+    void remove_waiter(submission::waiter who);
+
+    /// From here on new submissions are refused with `draining`; resubmissions still join.
+    void begin_drain() noexcept { draining_ = true; }
+
+    /// Answers `pending` to those whose wait ended.
+    void tick(time_point now);
+
+    std::optional<time_point> next_due() const { return waiters_.next_due(); }
+    std::size_t waiting() const noexcept { return waiters_.size(); }
+
+    void on_settled(const submission::submission_key& key,
+                    const submission::consequence& effect) override;
+
+private:
+    void admit(const submission_call& call, submission_body body,
+               const submission::submission_key& key, const body_digest& digest,
+               const id_verdict& verdict, time_point now);
+    time_point deadline_of(const submission_body& body, time_point now) const;
+    const settings::service_settings* find_service(std::string_view name) const;
+    void finish_reception(const submission_call& call, const submission::submission_key& key,
+                          const submission::reception& received, time_point now);
+    void refuse(const submission_call& call, reason why, work_state work, std::string message,
+                duration retry_after = {});
+
+    submission::submission_table& table_;
+    const id_authority& authority_;
+    reply_sink& replies_;
+    task_dispatcher* dispatcher_ = nullptr;
+    const customer_directory* customers_ = nullptr;
+    std::shared_ptr<const settings::cluster_settings> settings_;
+    waiter_registry waiters_;
+    metrics::reason_counters& refusals_;
+    metrics::reason_counters& failures_;
+    std::uint64_t& admitted_;
+    std::uint64_t& joined_;
+    std::uint64_t& completed_;
+    bool draining_ = false;
+};
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -0,0 +1,502 @@
+#include <dispatch/task_dispatcher.h>
+
+#include <algorithm>
+#include <cmath>
+#include <dispatch/json_text.h>
+
+namespace chivewharf::dispatch {
+
+using submission::attempt_end;
+using submission::submission_key;
+
+/// One service of the configuration with its queue.
+struct task_dispatcher::service_state {
+    service_state(sched::limits& limits, const sched::job_order& order) : queue{limits, order} {}
+
+    settings::service_settings config;
+    sched::fair_queue queue;
+    sched::admission admission;
+    sched::retry_budget retries;
+};
+
+/// A submission that has queued or sent tasks.
+struct task_dispatcher::job {
+    submission_key key;
+    service_state* service = nullptr;
+    std::vector<call_id> calls; ///< sends that have not ended
+    bool settled = false;
+};
+
+/// A task that was given to the shell to send.
+struct task_dispatcher::call {
+    submission_key key;
+    sched::task_pick pick;
+    std::string kind;
+    service_state* service = nullptr;
+    upstream::worker_id worker = 0;
+    std::uint32_t attempt = 1;
+    std::uint8_t slot = submission::no_slot;
+    std::uint64_t slot_epoch = 0;
+    time_point deadline;
+    time_point sent_at;
+};
+
+namespace {
+
+sched::job_handle handle_of(const submission_key& key)
+{
+    return key.low;
+}
+
+std::optional<duration> declared(const submission::task_request& task)
+{
+    if (task.declared <= duration{0})
+        return std::nullopt;
+    return task.declared;
+}
+
+upstream::task_outcome pool_outcome(call_end end)
+{
+    using upstream::task_outcome;
+    switch (end) {
+    case call_end::answered:
+    case call_end::truncated:
+    case call_end::too_large:
+        return task_outcome::ok;
+    case call_end::failed:
+        return task_outcome::failed;
+    case call_end::refused:
+        return task_outcome::refused_not_run;
+    case call_end::not_sent:
+        return task_outcome::connect_failed;
+    case call_end::lost:
+        return task_outcome::lost;
+    case call_end::silent:
+        return task_outcome::silent;
+    case call_end::withheld:
+    case call_end::aborted:
+        return task_outcome::withheld;
+    }
+    return task_outcome::lost;
+}
+
+} // namespace
+
+task_dispatcher::task_dispatcher(submission::submission_table& table, const start_guard& guard,
+                                 settlement_observer& observer, metrics::registry& metrics,
+                                 action_list& actions, rng& random, const identity& self)
+    : table_{table}, guard_{guard}, observer_{observer}, actions_{actions}, random_{random},
+      retry_reasons_{metrics.reasons("chivewharf_retries_total")},
+      queue_wait_{metrics.histogram("chivewharf_queue_wait_seconds")},
+      run_time_{metrics.histogram("chivewharf_run_time_seconds")},
+      starts_{metrics.counter("chivewharf_task_starts_total")},
+      late_results_{metrics.counter("chivewharf_late_results_total")},
+      order_{std::make_unique<sched::shortest_remaining_work>()}, sharing_{pool_, self.host,
+                                                                           self.incarnation}
+{
+}
+
+task_dispatcher::~task_dispatcher() = default;
+
+void task_dispatcher::apply(const settings::cluster_settings& settings,
+                            const customer_directory& customers, std::string_view domain,
+                            time_point now)
+{
+    apply_services(settings, now);
+    apply_customers(settings, customers, now);
+    apply_workers(settings, domain, now);
+}
+
+void task_dispatcher::apply_services(const settings::cluster_settings& settings, time_point now)
+{
+    std::set<std::string_view> wanted;
+    for (const auto& config : settings.services) {
+        wanted.insert(config.name);
+        auto& service = services_[config.name];
+        if (!service)
+            service = std::make_unique<service_state>(limits_, *order_);
+        service->config = config;
+        sched::admission_policy policy;
+        policy.max_customer_tasks =
+            static_cast<std::size_t>(settings.policy.max_queued_per_customer);
+        policy.max_tasks = static_cast<std::size_t>(config.max_queued);
+        service->admission.set_policy(policy);
+    }
+    std::vector<submission_key> orphans;
+    for (const auto& [handle, one] : jobs_) {
+        if (!wanted.contains(one.service->config.name) && !one.settled)
+            orphans.push_back(one.key);
+    }
+    for (const auto& key : orphans)
+        fail(key, reason::service_removed, "the service was removed from the configuration", now);
+}
+
+void task_dispatcher::apply_customers(const settings::cluster_settings& settings,
+                                      const customer_directory& customers, time_point now)
+{
+    std::set<sched::customer_id> wanted;
+    for (const auto& config : settings.customers) {
+        const auto customer = *customers.number(config.name);
+        wanted.insert(customer);
+        const auto concurrency = static_cast<std::uint32_t>(config.max_running);
+        // The settings were checked, so these calls cannot fail.
+        (void)limits_.set_customer(customer, {config.rate, config.burst, concurrency}, now);
+        for (auto& [name, service] : services_) {
+            sched::share_policy share;
+            share.weight = config.weight;
+            if (const auto found = config.min_share.find(name); found != config.min_share.end())
+                share.min_share = found->second;
+            if (const auto found = config.max_share.find(name); found != config.max_share.end())
+                share.max_share = found->second;
+            (void)service->queue.set_customer(customer, share);
+        }
+    }
+    for (const auto customer : known_customers_) {
+        if (!wanted.contains(customer))
+            remove_customer(customer, now);
+    }
+    known_customers_ = std::move(wanted);
+}
+
+void task_dispatcher::remove_customer(sched::customer_id customer, time_point now)
+{
+    limits_.remove_customer(customer);
+    std::vector<submission_key> orphans;
+    for (auto& [name, service] : services_) {
+        for (const auto& removed : service->queue.remove_customer(customer)) {
+            if (const auto found = jobs_.find(removed.job); found != jobs_.end())
+                orphans.push_back(found->second.key);
+        }
+    }
+    for (const auto& key : orphans)
+        fail(key, reason::customer_removed, "the customer was removed from the configuration", now);
+}
+
+void task_dispatcher::apply_workers(const settings::cluster_settings& settings,
+                                    std::string_view domain, time_point now)
+{
+    std::set<std::string_view> wanted;
+    for (const auto& worker : settings.upstreams) {
+        if (worker.domain != domain)
+            continue;
+        wanted.insert(worker.name);
+        (void)pool_.put({worker.name, to_text(worker.address), worker.service,
+                         static_cast<std::uint32_t>(worker.slots),
+                         static_cast<std::uint32_t>(worker.connections)});
+    }
+    for (const auto worker : pool_.workers()) {
+        const auto name = pool_.config(worker).name;
+        if (!wanted.contains(name))
+            (void)pool_.remove(name);
+    }
+    sharing_.workers_changed(now);
+}
+
+task_dispatcher::service_state* task_dispatcher::find_service(std::string_view name)
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second.get();
+}
+
+sched::admission_verdict task_dispatcher::check(const job_request& wanted, time_point now)
+{
+    auto* service = find_service(wanted.service);
+    if (service == nullptr)
+        return {reason::unknown_service, {}, {}};
+    sched::admission_request request;
+    request.customer = wanted.customer;
+    request.tasks = wanted.tasks->size();
+    request.deadline = wanted.deadline;
+    request.least = duration{0};
+    for (const auto& task : *wanted.tasks) {
+        const auto expected = estimator_.expected(wanted.service, task.kind, declared(task));
+        request.work += expected;
+        request.longest = std::max(request.longest, expected);
+        if (const auto least = estimator_.least(wanted.service, task.kind))
+            request.least = std::max(*request.least, *least);
+    }
+    if (*request.least == duration{0})
+        request.least.reset();
+    if (pool_.capacity(wanted.service).workers == 0)
+        return {reason::no_upstream, {}, milliseconds{500}};
+    return service->admission.decide(request, service->queue, limits_, now, random_);
+}
+
+void task_dispatcher::enqueue(const job_request& request, time_point now)
+{
+    auto* service = find_service(request.service);
+    std::vector<sched::queued_task> tasks;
+    tasks.reserve(request.tasks->size());
+    std::uint32_t index = 0;
+    for (const auto& task : *request.tasks)
+        tasks.push_back({index++, estimator_.expected(request.service, task.kind, declared(task))});
+    const auto handle = handle_of(request.key);
+    if (!service->queue.enqueue(request.customer, handle, std::move(tasks), now)) {
+        fail(request.key, reason::internal, "the submission could not be queued", now);
+        return;
+    }
+    jobs_[handle] = {request.key, service, {}, false};
+}
+
+void task_dispatcher::pump(clock_reading now)
+{
+    for (auto& [name, service] : services_) {
+        pump_service(*service, now);
+        const auto queued = std::min<std::size_t>(service->queue.queued_tasks(), 1000);
+        sharing_.set_backlog(name, static_cast<std::uint32_t>(queued));
+    }
+}
+
+void task_dispatcher::pump_service(service_state& service, clock_reading now)
+{
+    if (service.queue.queued_tasks() == 0)
+        return;
+    const auto& name = service.config.name;
+    const auto capacity = pool_.capacity(name);
+    service.queue.set_capacity(static_cast<std::uint32_t>(std::lround(capacity.total)));
+    while (const auto pick = service.queue.next(now.boot)) {
+        const auto found = jobs_.find(pick->job);
+        const auto* request = table_.request(found->second.key);
+        if (request == nullptr || request->deadline <= now.boot) {
+            service.queue.remove_job(pick->job);
+            continue;
+        }
+        const auto worker = pool_.choose(now.boot, name, pick->cost, request->deadline, random_);
+        if (!worker)
+            return;
+        if (!guard_.may_start(request->slot, request->slot_epoch, now.boot)) {
+            fail(found->second.key, reason::ownership_unproved,
+                 "the lease on the id's slot lapsed before the start", now.boot);
+            continue;
+        }
+        start(service, *pick, found->second, *worker, now);
+    }
+}
+
+void task_dispatcher::start(service_state& service, const sched::task_pick& pick, job& of,
+                            upstream::worker_id worker, clock_reading now)
+{
+    const auto attempt = table_.may_start(of.key, pick.task, now.boot);
+    if (!attempt) {
+        service.queue.remove_job(pick.job);
+        return;
+    }
+    service.queue.started(pick, now.boot);
+    pool_.task_started(worker);
+    if (*attempt == 1)
+        service.retries.first_try();
+    queue_wait_.observe(now.boot - pick.arrived);
+    ++starts_;
+    const auto* request = table_.request(of.key);
+    const call made{of.key,
+                    pick,
+                    request->tasks[pick.task].kind,
+                    &service,
+                    worker,
+                    *attempt,
+                    request->slot,
+                    request->slot_epoch,
+                    request->deadline,
+                    now.boot};
+    const auto number = next_call_++;
+    calls_.emplace(number, made);
+    of.calls.push_back(number);
+    emit_send(*request, number, made, now);
+}
+
+void task_dispatcher::emit_send(const submission::submission_request& request, call_id number,
+                                const call& made, clock_reading now)
+{
+    const auto& config = pool_.config(made.worker);
+    const auto limit = std::min(made.deadline, guard_.start_limit(made.slot));
+    send_task send;
+    send.call = number;
+    send.worker = config.name;
+    send.address = config.address;
+    send.task = request.id + '/' + std::to_string(made.pick.task);
+    send.attempt = made.attempt;
+    send.remaining = made.deadline - now.boot;
+    send.start_by = now.wall + to_ms(limit - now.boot);
+    send.kind = made.kind;
+    send.customer = request.customer;
+    send.payload = request.tasks[made.pick.task].payload;
+    actions_.add(std::move(send));
+}
+
+bool task_dispatcher::confirm_start(call_id number, time_point now) const
+{
+    const auto found = calls_.find(number);
+    if (found == calls_.end())
+        return false;
+    const auto& made = found->second;
+    return now < made.deadline && guard_.may_start(made.slot, made.slot_epoch, now);
+}
+
+submission::attempt_result task_dispatcher::judge(call_report& report)
+{
+    switch (report.end) {
+    case call_end::answered:
+        if (!is_json(report.body))
+            return {attempt_end::failed, reason::task_failed, {}, "the answer is not JSON"};
+        return {attempt_end::done, reason::none, std::move(report.body), {}};
+    case call_end::failed:
+        return {attempt_end::failed, reason::task_failed, {}, std::move(report.message)};
+    case call_end::truncated:
+        return {attempt_end::failed, reason::answer_truncated, {}, std::move(report.message)};
+    case call_end::too_large:
+        return {attempt_end::failed, reason::answer_too_large, {}, std::move(report.message)};
+    case call_end::refused:
+    case call_end::not_sent:
+        return {attempt_end::not_run, reason::no_upstream, {}, std::move(report.message)};
+    case call_end::withheld:
+        return {attempt_end::not_run, reason::ownership_unproved, {}, std::move(report.message)};
+    case call_end::lost:
+    case call_end::silent:
+    case call_end::aborted:
+        return {attempt_end::lost, reason::answer_lost, {}, std::move(report.message)};
+    }
+    return {};
+}
+
+void task_dispatcher::learn(const call& ended, const call_report& report, time_point now)
+{
+    const auto run_time = now - ended.sent_at;
+    if (report.end == call_end::answered) {
+        run_time_.observe(run_time);
+        estimator_.observe(ended.service->config.name, ended.kind, run_time,
+                           pool_.speed(ended.worker));
+    }
+    pool_.task_ended(ended.worker, now, pool_outcome(report.end), run_time, ended.pick.cost);
+    if (report.leaving)
+        pool_.header_leaving(ended.worker, now);
+}
+
+void task_dispatcher::task_ended(call_id number, call_report report, time_point now)
+{
+    const auto found = calls_.find(number);
+    if (found == calls_.end())
+        return;
+    const auto ended = std::move(found->second);
+    calls_.erase(found);
+    learn(ended, report, now);
+    auto result = judge(report);
+    const auto why = result.why;
+    const bool ran = result.end != attempt_end::not_run;
+    const auto effect =
+        table_.finish_task(ended.key, ended.pick.task, ended.attempt, std::move(result), now);
+    if (!effect.matched)
+        ++late_results_;
+    const auto used = now - ended.sent_at;
+    if (ran)
+        usage_[ended.pick.customer] += to_seconds(used);
+    std::erase(jobs_.at(ended.pick.job).calls, number);
+    auto& queue = ended.service->queue;
+    if (effect.queued_again)
+        retry(ended, why, now);
+    else if (ran)
+        queue.ended(ended.pick.customer, ended.pick.cost, used);
+    else
+        queue.not_run(ended.pick);
+    settle(ended.key, effect);
+    release(ended.pick.job);
+}
+
+void task_dispatcher::retry(const call& ended, reason why, time_point now)
+{
+    auto& service = *ended.service;
+    if (why != reason::ownership_unproved && !service.retries.take()) {
+        service.queue.not_run(ended.pick);
+        fail(ended.key, reason::retry_budget_spent, "the service's retry budget is spent", now);
+        return;
+    }
+    retry_reasons_.add(why);
+    const auto wait = sched::retry_budget::backoff(ended.attempt - 1, random_);
+    if (!service.queue.put_back(ended.pick, now + wait))
+        fail(ended.key, reason::customer_removed, "the customer was removed", now);
+}
+
+submission::consequence task_dispatcher::cancel(const submission_key& key, time_point now)
+{
+    auto effect = table_.cancel(key, now);
+    settle(key, effect);
+    return effect;
+}
+
+void task_dispatcher::fail(const submission_key& key, reason why, const std::string& message,
+                           time_point now)
+{
+    settle(key, table_.fail(key, why, message, now));
+}
+
+void task_dispatcher::settle(const submission_key& key, const submission::consequence& effect)
+{
+    if (!effect.reply)
+        return;
+    const auto handle = handle_of(key);
+    if (const auto found = jobs_.find(handle); found != jobs_.end()) {
+        found->second.settled = true;
+        found->second.service->queue.remove_job(handle);
+        if (!effect.abort_tasks.empty()) {
+            for (const auto number : found->second.calls)
+                actions_.add(abort_call{number});
+        }
+        release(handle);
+    }
+    observer_.on_settled(key, effect);
+}
+
+void task_dispatcher::release(sched::job_handle handle)
+{
+    const auto found = jobs_.find(handle);
+    if (found != jobs_.end() && found->second.settled && found->second.calls.empty())
+        jobs_.erase(found);
+}
+
+void task_dispatcher::tick(time_point now)
+{
+    pool_.tick(now);
+    for (const auto& expired : table_.tick(now))
+        settle(expired.key, expired.effect);
+}
+
+std::optional<time_point> task_dispatcher::next_due() const
+{
+    auto due = table_.next_due();
+    for (const auto& [name, service] : services_) {
+        const auto wake = service->queue.wake_at();
+        if (wake && (!due || *wake < *due))
+            due = wake;
+    }
+    return due;
+}
+
+void task_dispatcher::charge_remote(sched::customer_id customer, double slot_seconds)
+{
+    for (auto& [name, service] : services_)
+        service->queue.charge_remote(customer, slot_seconds);
+}
+
+sched::customer_load task_dispatcher::load(const std::string& service,
+                                           sched::customer_id customer) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? sched::customer_load{} : found->second->queue.load(customer);
+}
+
+std::vector<std::string> task_dispatcher::services() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, service] : services_)
+        names.push_back(name);
+    return names;
+}
+
+std::size_t task_dispatcher::queued_tasks() const
+{
+    std::size_t queued = 0;
+    for (const auto& [name, service] : services_)
+        queued += service->queue.queued_tasks();
+    return queued;
+}
+
+} // namespace chivewharf::dispatch
--- /dev/null
+++ b/modules/dispatch/task_dispatcher.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <base/rng.h>
+#include <cstdint>
+#include <dispatch/action.h>
+#include <dispatch/customer_directory.h>
+#include <dispatch/identity.h>
+#include <dispatch/start_guard.h>
+#include <map>
+#include <memory>
+#include <metrics/registry.h>
+#include <optional>
+#include <sched/sched.h>
+#include <set>
+#include <settings/cluster_settings.h>
+#include <string>
+#include <submission/submission_table.h>
+#include <unordered_map>
+#include <upstream/slot_sharing.h>
+#include <upstream/worker_pool.h>
+#include <vector>
+
+namespace chivewharf::dispatch {
+
+/// How a send to a worker ended, as the shell saw it.
+enum class call_end : std::uint8_t {
+    answered,  ///< whole answer with status 200
+    failed,    ///< any other status: the task ran and failed
+    refused,   ///< the runner reported that the task did not start
+    not_sent,  ///< no byte left this process
+    withheld,  ///< `confirm_start` refused; no byte left this process
+    lost,      ///< the connection ended after the first byte
+    silent,    ///< no answer until the deadline
+    truncated, ///< the answer ended before its declared length
+    too_large, ///< the answer was larger than the limit
+    aborted,   ///< closed because of `abort_call`
+};
+
+/// Result of a send.
+struct call_report {
+    call_end end = call_end::lost;
+    std::string body;     ///< of an answer with status 200
+    std::string message;  ///< detail for a failure
+    bool leaving = false; ///< the runner announced that it is leaving
+};
+
+/// A submission that is to be queued.
+struct job_request {
+    submission::submission_key key;
+    sched::customer_id customer = 0;
+    std::string service;
+    time_point deadline;
+    const std::vector<submission::task_request>* tasks = nullptr;
+};
+
+/// Told when a submission got its final answer.
+class settlement_observer {
+public:
+    settlement_observer() = default;
+    settlement_observer(const settlement_observer&) = delete;
+    settlement_observer& operator=(const settlement_observer&) = delete;
+    virtual ~settlement_observer() = default;
+    virtual void on_settled(const submission::submission_key& key,
+                            const submission::consequence& effect) = 0;
+};
+
+/// Decides when and where each queued task of this entry host starts, and what follows from the
+/// end of a send. It joins the table of submissions, the queues and the worker pool.
+class task_dispatcher {
+public:
+    /// \param table, guard, metrics, actions, random must outlive the dispatcher
+    task_dispatcher(submission::submission_table& table, const start_guard& guard,
+                    settlement_observer& observer, metrics::registry& metrics, action_list& actions,
+                    rng& random, const identity& self);
+    ~task_dispatcher();
+    task_dispatcher(const task_dispatcher&) = delete;
+    task_dispatcher& operator=(const task_dispatcher&) = delete;
+
+    /// Puts a configuration into force: services, customers' shares and limits, and the workers of
+    /// the domain. Queued work of removed customers and services fails as not run.
+    void apply(const settings::cluster_settings& settings, const customer_directory& customers,
+               std::string_view domain, time_point now);
+
+    /// Whether a submission would be admitted. Reasons: unknown_service, customer_removed,
+    /// no_upstream, never_runnable and those of `sched::admission`.
+    sched::admission_verdict check(const job_request& wanted, time_point now);
+
+    /// Queues the tasks of a submission that the table has admitted.
+    void enqueue(const job_request& job, time_point now);
+
+    /// Starts as many tasks as slots and limits allow.
+    void pump(clock_reading now);
+
+    /// The check right before the first byte of a send leaves.
+    bool confirm_start(call_id call, time_point now) const;
+
+    /// Takes the end of a send.
+    void task_ended(call_id call, call_report report, time_point now);
+
+    /// Cancels a submission.
+    submission::consequence cancel(const submission::submission_key& key, time_point now);
+
+    /// Fails a submission that has no final answer yet.
+    void fail(const submission::submission_key& key, reason why, const std::string& message,
+              time_point now);
+
+    /// Fails submissions past their deadline and moves slots between entry hosts.
+    void tick(time_point now);
+
+    /// Earliest time at which `tick` and `pump` have work other than the regular interval.
+    std::optional<time_point> next_due() const;
+
+    upstream::worker_pool& pool() noexcept { return pool_; }
+    upstream::slot_sharing& sharing() noexcept { return sharing_; }
+    sched::limits& limits() noexcept { return limits_; }
+
+    /// Charges usage elsewhere in the domain to a customer in every service.
+    void charge_remote(sched::customer_id customer, double slot_seconds);
+
+    /// Slot-seconds that this host's tasks used since the start, by customer.
+    const std::map<sched::customer_id, double>& usage() const noexcept { return usage_; }
+
+    /// Load of a customer in a service; zero if either is unknown.
+    sched::customer_load load(const std::string& service, sched::customer_id customer) const;
+
+    std::vector<std::string> services() const;
+    std::size_t calls_in_flight() const noexcept { return calls_.size(); }
+    std::size_t queued_tasks() const;
+
+private:
+    struct service_state;
+    struct job;
+    struct call;
+
+    service_state* find_service(std::string_view name);
+    void apply_services(const settings::cluster_settings& settings, time_point now);
+    void apply_customers(const settings::cluster_settings& settings,
+                         const customer_directory& customers, time_point now);
+    void apply_workers(const settings::cluster_settings& settings, std::string_view domain,
+                       time_point now);
+    void remove_customer(sched::customer_id customer, time_point now);
+    void pump_service(service_state& service, clock_reading now);
+    void start(service_state& service, const sched::task_pick& pick, job& of,
+               upstream::worker_id worker, clock_reading now);
+    void emit_send(const submission::submission_request& request, call_id number, const call& made,
+                   clock_reading now);
+    static submission::attempt_result judge(call_report& report);
+    void learn(const call& ended, const call_report& report, time_point now);
+    void retry(const call& ended, reason why, time_point now);
+    void settle(const submission::submission_key& key, const submission::consequence& effect);
+    void release(sched::job_handle handle);
+
+    submission::submission_table& table_;
+    const start_guard& guard_;
+    settlement_observer& observer_;
+    action_list& actions_;
+    rng& random_;
+    metrics::reason_counters& retry_reasons_;
+    metrics::latency_histogram& queue_wait_;
+    metrics::latency_histogram& run_time_;
+    std::uint64_t& starts_;
+    std::uint64_t& late_results_;
+    sched::limits limits_;
+    sched::run_time_estimator estimator_;
+    std::unique_ptr<sched::job_order> order_;
+    upstream::worker_pool pool_;
+    upstream::slot_sharing sharing_;
+    std::map<std::string, std::unique_ptr<service_state>, std::less<>> services_;
+    std::unordered_map<sched::job_handle, job> jobs_;
+    std::unordered_map<call_id, call> calls_;
+    std::map<sched::customer_id, double> usage_;
+    std::set<sched::customer_id> known_customers_;
+    call_id next_call_ = 1;
+};
+
+} // namespace chivewharf::dispatch
+
+template <>
+struct chivewharf::enum_names<chivewharf::dispatch::call_end> {
+    static constexpr std::array<std::string_view, 10> names{
+        "answered", "failed", "refused",   "not_sent",  "withheld",
+        "lost",     "silent", "truncated", "too_large", "aborted"};
+};
--- a/modules/upstream/task_outcome.h
+++ b/modules/upstream/task_outcome.h
@@ -15,6 +15,7 @@
     connect_failed,  ///< no connection; the task did not start
     lost,            ///< connection lost after the first byte
     silent,          ///< no answer until the deadline
+    withheld,        ///< this host did not send it or closed it itself: says nothing of the worker
 };
 
 } // namespace chivewharf::upstream
@@ -23,8 +24,8 @@
 
 template <>
 struct enum_names<upstream::task_outcome> {
-    static constexpr std::array<std::string_view, 6> names{
-        "ok", "failed", "refused_not_run", "connect_failed", "lost", "silent"};
+    static constexpr std::array<std::string_view, 7> names{
+        "ok", "failed", "refused_not_run", "connect_failed", "lost", "silent", "withheld"};
 };
 
 } // namespace chivewharf
--- a/modules/upstream/worker_pool.cpp
+++ b/modules/upstream/worker_pool.cpp
@@ -276,6 +276,8 @@
 void worker_pool::judge(worker_id worker, time_point now, task_outcome outcome, duration run_time,
                         duration expected)
 {
+    if (outcome == task_outcome::withheld)
+        return;
     auto& entry = at(worker);
     if (outcome == task_outcome::refused_not_run) {
         record_refusal(entry, now);
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -1,10 +1,8 @@
 #include <wire/frame_codec.h>
 
 #include <algorithm>
-#include <concepts>
 #include <cstring>
 #include <flatbuffers/flatbuffers.h>
-#include <type_traits>
 #include <utility>
 #include <vector>
 #include <wire/generated/frame_generated.h>
@@ -65,7 +63,8 @@
 
 auto write(FlatBufferBuilder& b, const forward_answer& m)
 {
-    return fbs::Createforward_answer(b, m.request_id, m.status, bytes(b, m.body));
+    return fbs::Createforward_answer(b, m.request_id, m.status, m.retry_after_ms, text(b, m.owner),
+                                     bytes(b, m.body));
 }
 
 auto write(FlatBufferBuilder& b, const heartbeat& m)
@@ -95,34 +94,55 @@
                                     b.CreateVector(m.values));
 }
 
+auto write(FlatBufferBuilder& b, const std::vector<lent_slots>& slots)
+{
+    std::vector<Offset<fbs::lent_slots>> entries;
+    entries.reserve(slots.size());
+    for (const auto& one : slots)
+        entries.push_back(fbs::Createlent_slots(b, one.grant, text(b, one.worker), one.slots));
+    return b.CreateVector(entries);
+}
+
+auto write(FlatBufferBuilder& b, const std::vector<slot_epoch>& slots)
+{
+    std::vector<fbs::slot_epoch> entries;
+    entries.reserve(slots.size());
+    for (const auto& one : slots)
+        entries.emplace_back(one.slot, one.epoch);
+    return b.CreateVectorOfStructs(entries);
+}
+
 auto write(FlatBufferBuilder& b, const slot_request& m)
 {
-    return fbs::Createslot_request(b, text(b, m.service), m.slots);
+    return fbs::Createslot_request(b, m.request, text(b, m.service), m.slots, write(b, m.renew));
 }
 
 auto write(FlatBufferBuilder& b, const slot_grant& m)
 {
-    return fbs::Createslot_grant(b, m.grant_id, text(b, m.worker), m.slots, m.lease_ms);
+    return fbs::Createslot_grant(b, m.request, text(b, m.service), m.lease_ms, write(b, m.granted),
+                                 write(b, m.renewed), m.spare);
 }
 
 auto write(FlatBufferBuilder& b, const slot_return& m)
 {
-    return fbs::Createslot_return(b, m.grant_id, text(b, m.worker), m.slots);
+    return fbs::Createslot_return(b, write(b, m.slots));
 }
 
 auto write(FlatBufferBuilder& b, const promise_request& m)
 {
-    return fbs::Createpromise_request(b, text(b, m.domain), m.incarnation, m.sequence);
+    return fbs::Createpromise_request(b, text(b, m.host), m.incarnation, write(b, m.slots),
+                                      m.asked_at_ns);
 }
 
 auto write(FlatBufferBuilder& b, const promise& m)
 {
-    return fbs::Createpromise(b, text(b, m.domain), m.sequence, m.promised_ms);
+    return fbs::Createpromise(b, text(b, m.seat), write(b, m.slots), m.asked_at_ns);
 }
 
 auto write(FlatBufferBuilder& b, const handover_records& m)
 {
-    return fbs::Createhandover_records(b, m.slot, m.epoch, m.last, bytes(b, m.body));
+    return fbs::Createhandover_records(b, m.slot, m.epoch, m.quarantine_ms, m.last,
+                                       bytes(b, m.body));
 }
 
 auto write(FlatBufferBuilder& b, const config_version& m)
@@ -143,12 +163,13 @@
 auto write(FlatBufferBuilder& b, const spill_task& m)
 {
     return fbs::Createspill_task(b, m.request_id, text(b, m.customer), text(b, m.service),
-                                 text(b, m.kind), m.deadline_ms, bytes(b, m.body));
+                                 text(b, m.kind), text(b, m.task), m.attempt, m.deadline_ms,
+                                 m.start_by_ms, bytes(b, m.body));
 }
 
 auto write(FlatBufferBuilder& b, const spill_answer& m)
 {
-    return fbs::Createspill_answer(b, m.request_id, m.status, bytes(b, m.body));
+    return fbs::Createspill_answer(b, m.request_id, m.end, text(b, m.message), bytes(b, m.body));
 }
 
 // Reading: one overload for each table. Each returns false if a field is absent or out of range.
@@ -218,14 +239,18 @@
            take(m.operation, t.operation()) && take(m.body, t.body());
 }
 
-// `forward_answer` and `spill_answer` have the same fields.
-template <class Message, class Table>
-requires std::same_as<Message, forward_answer> || std::same_as<Message, spill_answer>
-bool read(Message& m, const Table& t)
+// Text that an older sender may leave out.
+bool take_optional(std::string& to, const flatbuffers::String* from)
+{
+    return from == nullptr || take(to, from);
+}
+
+bool read(forward_answer& m, const fbs::forward_answer& t)
 {
     m.request_id = t.request_id();
     m.status = t.status();
-    return take(m.body, t.body());
+    m.retry_after_ms = t.retry_after_ms();
+    return take_optional(m.owner, t.owner()) && take(m.body, t.body());
 }
 
 bool read(heartbeat& m, const fbs::heartbeat& t)
@@ -272,45 +297,72 @@
     return m.keys.size() == m.values.size();
 }
 
+bool read(std::vector<lent_slots>& to, const flatbuffers::Vector<Offset<fbs::lent_slots>>* from)
+{
+    if (from == nullptr)
+        return true;
+    if (from->size() > max_lent_slots)
+        return false;
+    for (const auto* one : *from) {
+        auto& entry = to.emplace_back();
+        entry.grant = one->grant();
+        entry.slots = one->slots();
+        if (!take(entry.worker, one->worker()))
+            return false;
+    }
+    return true;
+}
+
+bool read(std::vector<slot_epoch>& to, const flatbuffers::Vector<const fbs::slot_epoch*>* from)
+{
+    if (from == nullptr)
+        return true;
+    if (from->size() > max_slot_epochs)
+        return false;
+    for (const auto* one : *from)
+        to.push_back({one->slot(), one->epoch()});
+    return true;
+}
+
 bool read(slot_request& m, const fbs::slot_request& t)
 {
+    m.request = t.request();
     m.slots = t.slots();
-    return take(m.service, t.service());
+    return take(m.service, t.service()) && read(m.renew, t.renew());
 }
 
 bool read(slot_grant& m, const fbs::slot_grant& t)
 {
-    m.grant_id = t.grant_id();
-    m.slots = t.slots();
+    m.request = t.request();
     m.lease_ms = t.lease_ms();
-    return take(m.worker, t.worker());
+    m.spare = t.spare();
+    return take(m.service, t.service()) && read(m.granted, t.granted()) &&
+           read(m.renewed, t.renewed());
 }
 
 bool read(slot_return& m, const fbs::slot_return& t)
 {
-    m.grant_id = t.grant_id();
-    m.slots = t.slots();
-    return take(m.worker, t.worker());
+    return read(m.slots, t.slots());
 }
 
 bool read(promise_request& m, const fbs::promise_request& t)
 {
     m.incarnation = t.incarnation();
-    m.sequence = t.sequence();
-    return take(m.domain, t.domain());
+    m.asked_at_ns = t.asked_at_ns();
+    return take(m.host, t.host()) && read(m.slots, t.slots());
 }
 
 bool read(promise& m, const fbs::promise& t)
 {
-    m.sequence = t.sequence();
-    m.promised_ms = t.promised_ms();
-    return take(m.domain, t.domain());
+    m.asked_at_ns = t.asked_at_ns();
+    return take(m.seat, t.seat()) && read(m.slots, t.slots());
 }
 
 bool read(handover_records& m, const fbs::handover_records& t)
 {
     m.slot = t.slot();
     m.epoch = t.epoch();
+    m.quarantine_ms = t.quarantine_ms();
     m.last = t.last();
     return take(m.body, t.body());
 }
@@ -336,9 +388,18 @@
 bool read(spill_task& m, const fbs::spill_task& t)
 {
     m.request_id = t.request_id();
+    m.attempt = t.attempt();
     m.deadline_ms = t.deadline_ms();
+    m.start_by_ms = t.start_by_ms();
     return take(m.customer, t.customer()) && take(m.service, t.service()) &&
-           take(m.kind, t.kind()) && take(m.body, t.body());
+           take(m.kind, t.kind()) && take(m.task, t.task()) && take(m.body, t.body());
+}
+
+bool read(spill_answer& m, const fbs::spill_answer& t)
+{
+    m.request_id = t.request_id();
+    m.end = t.end();
+    return take_optional(m.message, t.message()) && take(m.body, t.body());
 }
 
 using decoded = result<message, wire_error>;
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -45,6 +45,9 @@
 /// What a forwarded request asks the owner to do.
 enum class operation : std::uint8_t { submit, fetch, cancel };
 
+/// Value of `forward::wait_ms` for a caller that waits until the deadline.
+inline constexpr std::uint32_t no_wait = UINT32_MAX;
+
 /// A caller's request, passed to the host that owns the id. It is never forwarded again.
 struct forward {
     std::uint64_t request_id = 0;
@@ -56,10 +59,12 @@
     bool operator==(const forward&) const = default;
 };
 
-/// Answer to `forward`: HTTP status and outcome body.
+/// Answer to `forward`: HTTP status and outcome body, or the host that owns the id.
 struct forward_answer {
     std::uint64_t request_id = 0;
     std::uint16_t status = 0;
+    std::uint32_t retry_after_ms = 0;
+    std::string owner; ///< if not empty, the request was not served: ask this host
     std::string body;
     bool operator==(const forward_answer&) const = default;
 };
@@ -107,43 +112,61 @@
     bool operator==(const usage_average&) const = default;
 };
 
-/// Asks a home entry host for worker slots of a service.
+/// Slots of one worker under one grant of the lender.
+struct lent_slots {
+    std::uint64_t grant = 0;
+    std::string worker;
+    std::uint32_t slots = 0;
+    bool operator==(const lent_slots&) const = default;
+};
+
+/// Asks a home entry host for worker slots of a service and renews grants.
 struct slot_request {
+    std::uint64_t request = 0;
     std::string service;
     std::uint32_t slots = 0;
+    std::vector<lent_slots> renew;
     bool operator==(const slot_request&) const = default;
 };
 
-/// Lends slots of a worker for the lease.
+/// Lends slots for the lease; without any it is a refusal.
 struct slot_grant {
-    std::uint64_t grant_id = 0;
-    std::string worker;
-    std::uint32_t slots = 0;
+    std::uint64_t request = 0;
+    std::string service;
     std::uint32_t lease_ms = 0;
+    std::vector<lent_slots> granted;
+    std::vector<lent_slots> renewed;
+    std::uint32_t spare = 0;
     bool operator==(const slot_grant&) const = default;
 };
 
 /// Gives lent slots back early.
 struct slot_return {
-    std::uint64_t grant_id = 0;
-    std::string worker;
-    std::uint32_t slots = 0;
+    std::vector<lent_slots> slots;
     bool operator==(const slot_return&) const = default;
 };
 
-/// Asks a seat to promise not to claim ownership slots of the domain.
+/// An ownership slot at an epoch.
+struct slot_epoch {
+    std::uint16_t slot = 0;
+    std::uint64_t epoch = 0;
+    bool operator==(const slot_epoch&) const = default;
+};
+
+/// Asks a seat to promise not to claim the ownership slots of the sender.
 struct promise_request {
-    std::string domain;
+    std::string host;
     std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
+    std::vector<slot_epoch> slots;
+    std::int64_t asked_at_ns = 0; ///< clock of the sender, returned unchanged
     bool operator==(const promise_request&) const = default;
 };
 
-/// The promise, for `promised_ms` from the moment the request was sent.
+/// The slots for which the seat promises not to claim.
 struct promise {
-    std::string domain;
-    std::uint64_t sequence = 0;
-    std::uint32_t promised_ms = 0;
+    std::string seat;
+    std::vector<slot_epoch> slots;
+    std::int64_t asked_at_ns = 0;
     bool operator==(const promise&) const = default;
 };
 
@@ -151,6 +174,7 @@
 struct handover_records {
     std::uint16_t slot = 0;
     std::uint64_t epoch = 0;
+    std::uint32_t quarantine_ms = 0; ///< that the sender had left
     bool last = false;
     std::string body;
     bool operator==(const handover_records&) const = default;
@@ -181,15 +205,19 @@
     std::string customer;
     std::string service;
     std::string kind;
+    std::string task; ///< `ID/INDEX`
+    std::uint32_t attempt = 1;
     std::uint32_t deadline_ms = 0;
+    std::int64_t start_by_ms = 0;
     std::string body;
     bool operator==(const spill_task&) const = default;
 };
 
-/// Answer to `spill_task`.
+/// Answer to `spill_task`. `end` is the number of `dispatch::call_end`.
 struct spill_answer {
     std::uint64_t request_id = 0;
-    std::uint16_t status = 0;
+    std::uint8_t end = 0;
+    std::string message;
     std::string body;
     bool operator==(const spill_answer&) const = default;
 };
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -21,21 +21,21 @@
             proof{hmac},
             ping{},
             forward{1, "coldquay", "d1:x", operation::cancel, 250, blob},
-            forward_answer{2, 502, blob},
+            forward_answer{2, 502, 100, "host-b", blob},
             heartbeat{3, 4, 5},
             member_report{{entry, entry}, true},
             usage_average{1, 2, true, {3, 4}, {0.5F, 1.5F}},
-            slot_request{"plugdesk", 4},
-            slot_grant{1, "w1", 2, 2000},
-            slot_return{1, "w1", 2},
-            promise_request{"d1", 2, 3},
-            promise{"d1", 3, 10000},
-            handover_records{63, 2, true, blob},
+            slot_request{7, "plugdesk", 4, {{1, "w-1", 2}}},
+            slot_grant{7, "plugdesk", 2000, {{1, "w-1", 2}}, {{2, "w-2", 1}}, 3},
+            slot_return{{{1, "w-1", 2}}},
+            promise_request{"host-a", 2, {{3, 4}}, -5},
+            promise{"host-b", {{3, 4}, {63, 1}}, 5},
+            handover_records{63, 2, 1000, true, blob},
             config_version{790},
             config_request{791},
             config_record{791, blob},
-            spill_task{1, "c", "s", "k", 2000, blob},
-            spill_answer{1, 200, blob}};
+            spill_task{1, "c", "s", "k", "id/0", 1, 2000, 5, blob},
+            spill_answer{1, 3, "why", blob}};
 }
 
 std::string all_frames()
@@ -111,7 +111,7 @@
     const std::vector<message> bad{
         forward{1, "c", "s", static_cast<operation>(3), 0, ""},
         usage_average{1, 1, false, {1, 2}, {1.0F}},
-        slot_request{std::string(max_name_bytes + 1, 's'), 1},
+        slot_request{1, std::string(max_name_bytes + 1, 's'), 1, {}},
         member_report{std::vector<member_entry>(max_report_entries + 1), false},
         member_report{{odd_state}, false}};
     for (const auto& m : bad) {
