--- a/modules/sched/customer_queue.h
+++ b/modules/sched/customer_queue.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <base/time.h>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <sched/job_order.h>
 #include <sched/types.h>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -21,9 +21,8 @@
 
     friend bool operator<(const deferred_task& a, const deferred_task& b)
     {
-        if (a.not_before != b.not_before)
-            return a.not_before < b.not_before;
-        return a.job != b.job ? a.job < b.job : a.task.index < b.task.index;
+        return std::tie(a.not_before, a.job, a.task.index) <
+               std::tie(b.not_before, b.job, b.task.index);
     }
 };
 
@@ -89,7 +88,11 @@
         std::uint64_t sequence = 0;
         job_handle job = 0;
 
-        auto operator<=>(const index_key&) const = default;
+        friend bool operator<(const index_key& a, const index_key& b)
+        {
+            return std::tie(a.is_new, a.key, a.sequence, a.job) <
+                   std::tie(b.is_new, b.key, b.sequence, b.job);
+        }
     };
     struct job_state {
         std::vector<queued_task> ready; // ascending by expected run time
--- a/modules/sched/fair_queue.cpp
+++ b/modules/sched/fair_queue.cpp
@@ -36,10 +36,10 @@
     if (!is_share(policy.min_share) || !is_share(policy.max_share) || policy.max_share == 0)
         return unexpected(sched_error{sched_errc::invalid_policy,
                                       "shares must lie in [0, 1] and the maximum above 0"});
-    const auto [it, is_new] = customers_.try_emplace(customer, *order_);
-    change(customer, it->second, [&] {
-        it->second.policy = policy;
-        it->second.removed = false;
+    auto& s = customers_.try_emplace(customer, *order_).first->second;
+    change(customer, s, [&] {
+        s.policy = policy;
+        s.removed = false;
     });
     return {};
 }
--- a/modules/sched/limits.h
+++ b/modules/sched/limits.h
@@ -13,9 +13,9 @@
 
 /// Limits of one customer in the failure domain. An absent limit does not limit.
 struct limit_policy {
-    std::optional<double> rate;               ///< task starts a second, positive
-    double burst = 1;                         ///< starts at once after a pause, at least 1
-    std::optional<std::uint32_t> concurrency; ///< tasks running at once
+    std::optional<double> rate = {};               ///< task starts a second, positive
+    double burst = 1;                              ///< starts at once after a pause, at least 1
+    std::optional<std::uint32_t> concurrency = {}; ///< tasks running at once
 };
 
 /// Whether a customer may start a task now.
--- a/modules/sched/tests/simulation.h
+++ b/modules/sched/tests/simulation.h
@@ -5,8 +5,10 @@
 #include <map>
 #include <queue>
 #include <sched/sched.h>
+#include <stdexcept>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace chivewharf::sched {
 
@@ -19,10 +21,10 @@
         time_point end;
         task_pick pick;
         time_point begin;
-        auto operator<=>(const run& other) const
+        friend bool operator>(const run& a, const run& b)
         {
-            return std::tie(end, pick.job, pick.task) <=>
-                   std::tie(other.end, other.pick.job, other.pick.task);
+            return std::tie(a.end, a.pick.job, a.pick.task) >
+                   std::tie(b.end, b.pick.job, b.pick.task);
         }
     };
 
