Test submission and ownership, alone and as whole entry hosts

Cause: the promises P1, P2 and P4 rest on these two modules. Change: unit tests that name their faults, and a model of 3 to 5 entry hosts with a log, callers and runners that checks random histories and shows that the removal of each guard breaks an invariant.

--- /dev/null
+++ b/modules/ownership/tests/domain_model.cpp
@@ -0,0 +1,412 @@
+#include "domain_model.h"
+
+#include <algorithm>
+
+namespace chivewharf::ownership {
+
+namespace {
+
+using namespace submission;
+
+constexpr std::string_view customer = "coldquay";
+constexpr unsigned used_slots = 2; ///< callers' ids of the model lie in these slots
+constexpr duration resubmission_limit = seconds{300};
+constexpr time_point far_future{std::chrono::hours{1000}};
+
+/// Callers' ids whose slot is one of the used ones.
+const std::vector<submission_id>& caller_ids()
+{
+    static const auto ids = [] {
+        std::vector<submission_id> found;
+        for (int i = 0; found.size() < 64; ++i) {
+            auto id = submission_id::parse("k" + std::to_string(i)).value();
+            if (id.slot(customer) < used_slots)
+                found.push_back(std::move(id));
+        }
+        return found;
+    }();
+    return ids;
+}
+
+} // namespace
+
+domain_model::domain_model(std::uint32_t hosts, bool calm, removed_guard removed)
+    : calm_{calm}, removed_{removed}, now_{seconds{1000}}
+{
+    hosts_.resize(hosts);
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        hosts_[i].name = "e" + std::to_string(i);
+    for (auto& h : hosts_)
+        start_host(h);
+    advance(seconds{16});
+}
+
+/// Lets time pass in steps that are shorter than the hold of a promise.
+void domain_model::advance(duration d)
+{
+    const auto end = now_ + d;
+    do {
+        now_ = std::min<time_point>(end, now_ + seconds{5});
+        const auto first = pick(static_cast<std::uint32_t>(hosts_.size()));
+        for (std::size_t i = 0; i < hosts_.size(); ++i)
+            act(hosts_[(first + i) % hosts_.size()]);
+    } while (now_ < end);
+}
+
+std::uint32_t domain_model::pick(std::uint32_t below)
+{
+    return static_cast<std::uint32_t>(random_() % below);
+}
+
+bool domain_model::reachable(const host& from, const host& to) const
+{
+    return &from == &to || (active(to) && !from.peers_cut && !to.peers_cut);
+}
+
+void domain_model::start_host(host& h)
+{
+    ++incarnations_;
+    h.issuer = id_issuer::make("d", h.name, incarnations_).value();
+    h.owner = std::make_unique<slot_owner>(incarnation_id{h.name, incarnations_}, now_);
+    h.table = submission_table{};
+    h.answers.clear();
+    h.held.clear();
+    h.claim_sent = {};
+    h.alive = true;
+    h.paused_until = now_;
+    std::vector<std::string> others;
+    for (const auto& other : hosts_) {
+        if (other.name != h.name)
+            others.push_back(other.name);
+    }
+    h.owner->set_live_hosts(others);
+    h.owner->set_seats(std::move(others), now_);
+    // A promise without end keeps the unused slots unclaimed and the histories short.
+    promise_request unused{{"unused", 0}, {}, now_};
+    for (unsigned slot = used_slots; slot < slot_count; ++slot)
+        unused.slots.push_back({slot, 1});
+    h.owner->on_promise_request(unused, far_future);
+}
+
+void domain_model::fail(std::string what)
+{
+    if (violation_.empty())
+        violation_ = std::move(what);
+}
+
+// Operations.
+
+void domain_model::step(std::uint32_t operation)
+{
+    random_.seed(operation);
+    static constexpr std::array<std::int64_t, 8> waits_ms{0,    10,   300,   1000,
+                                                          3000, 6000, 14000, 40000};
+    advance(milliseconds{waits_ms[pick(waits_ms.size())]});
+    host& some = hosts_[pick(static_cast<std::uint32_t>(hosts_.size()))];
+    auto kind = pick(100);
+    if (calm_ && kind >= 53 && kind < 76 && chance(85))
+        kind = 99; // nothing happens
+    if (kind < 14)
+        new_job(false);
+    else if (kind < 20)
+        new_job(true);
+    else if (kind < 48)
+        resubmit();
+    else if (kind < 53 && !jobs_.empty())
+        cancel(pick(static_cast<std::uint32_t>(jobs_.size())));
+    else if (kind < 60)
+        some.alive = false;
+    else if (kind < 70 && !some.alive)
+        start_host(some);
+    else if (kind < 76)
+        some.paused_until = now_ + seconds{pick(120)};
+    else if (kind < 84)
+        some.log_cut = !some.log_cut;
+    else if (kind < 88)
+        some.peers_cut = !some.peers_cut;
+    else if (kind < 92)
+        hand_over(some);
+    std::vector<copy> arrived;
+    std::swap(arrived, copies_);
+    for (const copy& c : arrived) {
+        if (chance(50))
+            copies_.push_back(c);
+        else
+            deliver(c.job, hosts_[c.host]);
+    }
+    advance(duration::zero());
+}
+
+void domain_model::new_job(bool issued)
+{
+    job j;
+    j.first = now_;
+    j.deadline = now_ + seconds{1 + pick(100)};
+    j.started.resize(1 + pick(3));
+    host& h = hosts_[pick(static_cast<std::uint32_t>(hosts_.size()))];
+    if (issued)
+        j.id = submission_id::parse(h.issuer->issue(now_, to_ms(now_.time_since_epoch()))).value();
+    else if (jobs_.size() < caller_ids().size())
+        j.id = caller_ids()[jobs_.size()];
+    else
+        return;
+    j.key = make_key(customer, j.id.text());
+    jobs_.push_back(std::move(j));
+    deliver(jobs_.size() - 1, h);
+}
+
+void domain_model::resubmit()
+{
+    if (jobs_.empty())
+        return;
+    const auto recent = std::min<std::size_t>(jobs_.size(), 4);
+    const auto number = jobs_.size() - 1 - pick(static_cast<std::uint32_t>(recent));
+    const copy c{number, pick(static_cast<std::uint32_t>(hosts_.size()))};
+    if (jobs_[number].not_run)
+        return; // a new request after "not run" is the caller's own choice
+    deliver(number, hosts_[c.host]);
+    if (chance(30))
+        copies_.push_back(c);
+}
+
+domain_model::host* domain_model::route(const job& j, host& at)
+{
+    const auto& owner_name =
+        j.id.issued() ? j.id.issued()->host : at.owner->log().slot(j.id.slot(customer)).owner.host;
+    const auto found = std::find_if(hosts_.begin(), hosts_.end(),
+                                    [&](const host& h) { return h.name == owner_name; });
+    return found == hosts_.end() || !reachable(at, *found) ? nullptr : &*found;
+}
+
+void domain_model::deliver(std::size_t number, host& at)
+{
+    // Callers resubmit within the id lifetime.
+    if (!active(at) || now_ >= jobs_[number].first + resubmission_limit)
+        return;
+    host* owner = route(jobs_[number], at);
+    if (owner == nullptr)
+        return; // owner_unreachable, may have run
+    submit(number, *owner);
+    if (chance(20))
+        submit(number, *owner); // asked again on a new link
+}
+
+bool domain_model::may_admit(const job& j, host& h) const
+{
+    if (j.id.issued())
+        return h.issuer->check(*j.id.issued(), now_) == id_standing::valid;
+    const auto slot = j.id.slot(customer);
+    return weaken(h.owner->may_admit(slot, now_), slot, h) == slot_verdict::proved;
+}
+
+slot_verdict domain_model::weaken(slot_verdict verdict, unsigned slot, const host& h) const
+{
+    if (removed_ == removed_guard::lease && verdict == slot_verdict::unproved)
+        return slot_verdict::proved;
+    if (removed_ == removed_guard::quarantine && verdict == slot_verdict::quarantined)
+        return slot_verdict::proved;
+    if (removed_ == removed_guard::read_back && h.claim_sent[slot] &&
+        verdict == slot_verdict::not_owner)
+        return slot_verdict::proved;
+    return verdict;
+}
+
+void domain_model::submit(std::size_t number, host& at)
+{
+    const job& j = jobs_[number];
+    static const auto body = digest_body("body");
+    static const auto other = digest_body("other");
+    const auto digest = chance(10) ? other : body;
+    const auto known = at.table.find(j.key, digest, number);
+    const bool ignore_known = removed_ == removed_guard::duplicate_check;
+    if (known.kind != receipt::unknown && !ignore_known) {
+        if (known.reply && known.reply->why != reason::id_body_mismatch)
+            check_answer(at, number, known.reply);
+        return;
+    }
+    if (digest != body || !may_admit(j, at))
+        return; // refused, may have run
+    submission_request request;
+    request.key = j.key;
+    request.slot = j.id.issued() ? no_slot : static_cast<std::uint8_t>(j.id.slot(customer));
+    request.slot_epoch = request.slot == no_slot ? 0 : at.owner->own_epoch(request.slot);
+    request.digest = digest;
+    request.deadline = j.deadline;
+    request.tasks.resize(j.started.size());
+    if (ignore_known && known.kind != receipt::unknown)
+        at.table = submission_table{};
+    const auto got = at.table.admit(std::move(request), number, now_);
+    if (got.kind == receipt::admitted)
+        at.held.push_back(number);
+    if (got.reply)
+        check_answer(at, number, got.reply);
+}
+
+void domain_model::cancel(std::size_t number)
+{
+    const job& j = jobs_[number];
+    host& at = hosts_[pick(static_cast<std::uint32_t>(hosts_.size()))];
+    host* owner = active(at) ? route(j, at) : nullptr;
+    if (owner == nullptr)
+        return;
+    if (const auto effect = owner->table.cancel(j.key, now_); effect.reply)
+        check_answer(*owner, number, effect.reply);
+}
+
+void domain_model::hand_over(host& from)
+{
+    host& to = hosts_[pick(static_cast<std::uint32_t>(hosts_.size()))];
+    if (!active(from) || &from == &to || !reachable(from, to))
+        return;
+    from.owner->stop_claiming();
+    for (const slot_epoch& at : from.owner->own_slots()) {
+        const auto action =
+            from.owner->hand_over(at.slot, {to.name, to.issuer->incarnation()}).value();
+        if (chance(80)) {
+            for (const auto& record : from.table.export_slot(static_cast<std::uint8_t>(at.slot)))
+                to.table.import(record, now_);
+            to.owner->on_handover_records(at, from.owner->quarantine_left(at.slot, now_), now_);
+        }
+        append(from, action);
+    }
+}
+
+// What each host does by itself.
+
+void domain_model::append(host& from, const append_action& action)
+{
+    const auto fate = pick(100);
+    const bool written = !from.log_cut && fate < 90;
+    if (written)
+        log_.push_back(action.text);
+    if (written && fate < 10)
+        log_.push_back(action.text); // retried by the client
+    const auto outcome = fate >= 10 && fate < 80 && written ? append_outcome::written
+                         : written || fate < 95             ? append_outcome::may_have_been_written
+                                                            : append_outcome::not_written;
+    from.owner->on_append(action.record_id, outcome, now_);
+}
+
+void domain_model::read_log(host& h)
+{
+    log_read read{now_, 0, {}, true};
+    for (auto i = h.owner->log().next_offset(); i < log_.size(); ++i)
+        read.records.emplace_back(i, log_[i]);
+    h.owner->on_log(read, now_);
+}
+
+void domain_model::act(host& h)
+{
+    if (!active(h))
+        return;
+    // A host that resumes after a pause may start tasks before it hears any news.
+    if (chance(50))
+        start_tasks(h);
+    if (!h.log_cut && chance(90))
+        read_log(h);
+    const auto actions = h.owner->poll(now_);
+    for (const auto& action : actions.appends) {
+        const auto record = decode(action.text).value();
+        if (const auto* claim = std::get_if<claim_record>(&record.body))
+            h.claim_sent[claim->at.slot] = true;
+        append(h, action);
+    }
+    if (actions.ask)
+        ask_promises(h, *actions.ask);
+    if (!h.log_cut && chance(90))
+        read_log(h);
+    for (const auto& expired : h.table.tick(now_)) {
+        for (const auto number : expired.effect.waiters)
+            check_answer(h, number, expired.effect.reply);
+    }
+    start_tasks(h);
+}
+
+void domain_model::ask_promises(host& h, const promise_request& request)
+{
+    for (host& seat : hosts_) {
+        if (&seat == &h || !active(seat) || !reachable(h, seat) || chance(5))
+            continue;
+        if (removed_ == removed_guard::promise)
+            h.owner->on_promise({seat.name, request.slots, request.asked_at}, now_);
+        else
+            h.owner->on_promise(seat.owner->on_promise_request(request, now_), now_);
+    }
+}
+
+bool domain_model::may_start(const job& j, std::uint64_t epoch, host& h) const
+{
+    if (j.id.issued())
+        return true;
+    const auto slot = j.id.slot(customer);
+    return weaken(h.owner->may_start(slot, epoch, now_), slot, h) == slot_verdict::proved;
+}
+
+void domain_model::start_tasks(host& h)
+{
+    for (const auto number : h.held) {
+        const job& j = jobs_[number];
+        const auto* request = h.table.request(j.key);
+        if (request == nullptr || request->tasks.empty())
+            continue;
+        for (std::uint32_t task = 0; task < j.started.size(); ++task) {
+            if (chance(50) || !may_start(j, request->slot_epoch, h))
+                continue;
+            const auto attempt = h.table.may_start(j.key, task, now_);
+            if (attempt)
+                run_task(h, number, task, *attempt);
+        }
+    }
+}
+
+void domain_model::run_task(host& h, std::size_t number, std::uint32_t task, std::uint32_t attempt)
+{
+    job& j = jobs_[number];
+    const auto fate = pick(100);
+    const bool starts = fate >= 30;
+    if (starts) {
+        ++starts_;
+        if (++j.started[task] > 1)
+            fail("task started twice: " + j.id.text());
+        if (j.not_run)
+            fail("task started after not_run: " + j.id.text());
+    }
+    const auto end = fate < 20   ? attempt_end::not_run
+                     : fate < 40 ? attempt_end::lost
+                     : fate < 45 ? attempt_end::failed
+                                 : attempt_end::done;
+    if (fate >= 95)
+        return; // the answer never arrives
+    const int copies = chance(20) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const auto effect =
+            h.table.finish_task(j.key, task, attempt + (chance(5) ? 1 : 0),
+                                {end, reason::none, "r" + std::to_string(task), {}}, now_);
+        if (effect.reply)
+            check_answer(h, number, effect.reply);
+    }
+}
+
+void domain_model::check_answer(host& h, std::size_t number, const answer_ptr& reply)
+{
+    job& j = jobs_[number];
+    const auto started = std::any_of(j.started.begin(), j.started.end(), [](int n) { return n; });
+    if (reply->work == work_state::not_run) {
+        if (started)
+            fail("not_run after a start: " + j.id.text());
+        j.not_run = true;
+    }
+    if (reply->result == outcome::refused)
+        return;
+    ++finals_;
+    bool whole = reply->payloads.size() == j.started.size();
+    for (std::size_t i = 0; whole && i < reply->payloads.size(); ++i)
+        whole = reply->payloads[i] == "r" + std::to_string(i);
+    if (reply->result == outcome::complete ? !whole : !reply->payloads.empty())
+        fail("partial answer: " + j.id.text());
+    const auto [first, added] = h.answers.try_emplace(number, reply);
+    if (!added && *first->second != *reply)
+        fail("two final answers: " + j.id.text());
+}
+
+} // namespace chivewharf::ownership
