--- a/modules/membership/member_table.h
+++ b/modules/membership/member_table.h
@@ -48,6 +48,9 @@
 inline constexpr duration ramp_time = seconds{10};
 inline constexpr double ramp_start = 0.1;
 
+/// A removed host that neither the seats nor the platform name is forgotten after this time.
+inline constexpr duration forget_after = std::chrono::hours{1};
+
 /// Hosts in one table; about four times the entry hosts of the design size.
 inline constexpr std::size_t max_hosts = 1024;
 
@@ -172,6 +175,7 @@
         time_point next_sync{};
         std::vector<incarnation_id> retired;
         bool watched = false;
+        bool returned = false;
     };
     using record_map = std::map<std::string, record, std::less<>>;
 
@@ -183,20 +187,31 @@
     void refresh_watches(time_point now);
     void forgive_own_pause(time_point now);
     void update_isolation(time_point now, member_output& out);
+    void end_isolation(time_point now);
     void send_heartbeats(time_point now, member_output& out);
     void check_watched(time_point now, member_output& out);
+    void suspect(record& r, time_point now, member_output& out);
     void ask(record& r, time_point now, member_output& out);
     void probe(time_point now, rng& random, member_output& out);
+    void forget_unknown(time_point now);
+    void send_table(record& to, bool sync, time_point now, member_output& out);
+    void challenge(record& r, time_point now, member_output& out);
     void set_live(record& r, time_point joined_at, time_point heard_at, member_change change,
                   member_output& out);
     void set_removed(record& r, member_output& out);
     void broadcast(const report_entry& entry, member_output& out) const;
     void heard(record& r, time_point at, member_output& out);
+    static void retire(record& r, incarnation_id incarnation);
     void replace_incarnation(record& r, incarnation_id incarnation, time_point joined_at,
                              time_point heard_at, member_output& out);
     void on_heartbeat(record& from, const heartbeat& beat, time_point now, member_output& out);
     void on_report(record& from, const member_report& report, time_point now, member_output& out);
-    void on_entry(record& from, const report_entry& entry, time_point now, member_output& out);
+    void on_entry(record& from, const report_entry& entry, bool table, time_point now,
+                  member_output& out);
+    void learn(const report_entry& entry, time_point now, member_output& out);
+    void on_other_incarnation(record& r, const report_entry& entry, time_point now,
+                              member_output& out);
+    void on_removal(record& r, bool table, time_point now, member_output& out);
     void on_own_entry(record& from, const report_entry& entry, time_point now, member_output& out);
     void on_suspicion(record& from, record& subject, const report_entry& entry, time_point now,
                       member_output& out);
--- a/modules/membership/messages.h
+++ b/modules/membership/messages.h
@@ -39,7 +39,8 @@
     std::vector<incarnation_id> retired;
 };
 
-/// Changes, questions about suspected hosts, or a whole table. `sync` asks for a whole table.
+/// One entry: a change, or a question about a suspected host. Several entries: a whole table, whose
+/// removals the receiver checks before it believes them. `sync` asks for a table in return.
 struct member_report {
     std::vector<report_entry> entries;
     bool sync = false;
--- a/modules/membership/usage_average.h
+++ b/modules/membership/usage_average.h
@@ -25,6 +25,9 @@
 /// An exchange whose answer takes longer is given up.
 inline constexpr duration exchange_timeout = milliseconds{900};
 
+/// Mean usage below which a customer counts as unused, in slot-seconds a second.
+inline constexpr double negligible_usage = 1e-6;
+
 /// Customers in one vector, about four times the design size.
 inline constexpr std::size_t max_customers = 512;
 
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -89,7 +89,8 @@
     bool operator==(const member_entry&) const = default;
 };
 
-/// Membership changes, questions about suspected hosts, or a whole table (`sync` asks for one).
+/// One entry: a membership change, or a question about a suspected host. Several entries: a whole
+/// table. `sync` asks for a table in return.
 struct member_report {
     std::vector<member_entry> entries;
     bool sync = false;
