--- /dev/null
+++ b/modules/configlog/config_history.cpp
@@ -0,0 +1,101 @@
+#include <configlog/config_history.h>
+
+#include <algorithm>
+
+namespace chivewharf::configlog {
+
+namespace {
+
+constexpr std::size_t max_entries = 1000; // more than a day of changes (790)
+
+} // namespace
+
+void config_history::on_read(std::uint64_t from, std::uint64_t first)
+{
+    if (first > from && first > next_offset_) {
+        gap_ = true;
+        next_offset_ = first;
+    }
+}
+
+std::optional<history_entry> config_history::apply(std::uint64_t offset, wall_ms time,
+                                                   std::string_view data)
+{
+    if (offset < next_offset_)
+        return std::nullopt;
+    next_offset_ = offset + 1;
+    history_entry entry{.offset = offset,
+                        .time = time,
+                        .version = 0,
+                        .record_id = {},
+                        .publication_id = {},
+                        .author = {},
+                        .decision = {},
+                        .detail = {}};
+    if (auto record = decode(data); !record) {
+        entry.decision = verdict::malformed;
+        entry.detail = record.error().message;
+    }
+    else {
+        entry.version = record->version;
+        entry.record_id = record->record_id;
+        entry.publication_id = record->publication_id();
+        entry.author = record->author;
+        entry.decision = decide(*record, entry.detail);
+        if (entry.decision == verdict::in_force || entry.decision == verdict::republished)
+            accept(std::move(*record), offset, time);
+    }
+    entries_.push_back(entry);
+    if (entries_.size() > max_entries)
+        entries_.pop_front();
+    return entry;
+}
+
+void config_history::caught_up()
+{
+    gap_ = false;
+    shown_ = folded_;
+}
+
+verdict config_history::decide(const config_record& record, std::string& detail) const
+{
+    const auto current = folded_ ? folded_->record.version : 0;
+    if (folded_ && !record.republication && record.record_id == folded_->record.publication_id())
+        return verdict::duplicate;
+    const bool known = folded_ && record.version == current;
+    if (record.republication && (known || !gap_))
+        return known ? decide_republication(record) : verdict::stale;
+    // From here on the record would raise the version.
+    if (gap_ ? record.version <= current : record.based_on != current) {
+        detail = "version " + std::to_string(current) + " is in force";
+        return verdict::stale;
+    }
+    if (const auto errors = check_content(record); !errors.empty()) {
+        detail = settings::to_text(errors);
+        return verdict::content_invalid;
+    }
+    if (!folded_)
+        return verdict::in_force;
+    if (const auto changes = fixed_changes(folded_->record, record); !changes.empty()) {
+        detail = changes.front().key_path + " cannot change at run time";
+        return verdict::fixed_setting;
+    }
+    return verdict::in_force;
+}
+
+verdict config_history::decide_republication(const config_record& record) const
+{
+    if (record.same_content(folded_->record))
+        return verdict::republished;
+    // After a gap the folded record may be a loser; a republication holds the winner's content.
+    return gap_ && check_content(record).empty() ? verdict::republished : verdict::content_differs;
+}
+
+void config_history::accept(config_record record, std::uint64_t offset, wall_ms time)
+{
+    folded_ = record_in_force{std::move(record), offset, time};
+    if (!gap_)
+        shown_ = folded_;
+}
+
+} // namespace chivewharf::configlog
--- /dev/null
+++ b/modules/configlog/configlog.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Module configlog: which configuration version is in force.
+///
+/// Purpose: records of the stream `configuration`, their fold in log order, publication,
+/// republication, the follower in each process, and the budget of log appends.
+/// Depends on: base, settings.
+/// Does no input or output and reads no clock.
+
+#include <configlog/append_budget.h>
+#include <configlog/config_follower.h>
+#include <configlog/config_history.h>
+#include <configlog/config_publisher.h>
+#include <configlog/config_record.h>
+#include <configlog/republisher.h>
