--- a/modules/base/digest.cpp
+++ b/modules/base/digest.cpp
@@ -52,6 +52,14 @@
     return text;
 }
 
+std::string to_hex(std::uint64_t number)
+{
+    std::array<std::uint8_t, 8> bytes{};
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+        bytes[i] = static_cast<std::uint8_t>(number >> (56 - 8 * i));
+    return to_hex(bytes.data(), bytes.size());
+}
+
 bool equal_constant_time(const sha256_digest& a, const sha256_digest& b) noexcept
 {
     unsigned difference = 0;
--- a/modules/base/digest.h
+++ b/modules/base/digest.h
@@ -23,6 +23,9 @@
 /// Lower-case hexadecimal text of the bytes.
 std::string to_hex(const std::uint8_t* data, std::size_t size);
 
+/// 16 lower-case hexadecimal digits of the number.
+std::string to_hex(std::uint64_t number);
+
 /// True if both digests are the same. Takes the same time wherever they differ.
 bool equal_constant_time(const sha256_digest& a, const sha256_digest& b) noexcept;
 
--- a/modules/base/log_line.cpp
+++ b/modules/base/log_line.cpp
@@ -1,7 +1,9 @@
 #include <base/log_line.h>
 
 #include <algorithm>
+#include <base/time.h>
 #include <cstdio>
+#include <ctime>
 #include <glog/logging.h>
 
 namespace chivewharf {
@@ -33,6 +35,21 @@
     }
 }
 
+/// `time=` pair in UTC with milliseconds. glog's own prefix is switched off, because it is not in
+/// the form key=value.
+std::string utc_time()
+{
+    const auto now = wall_now_ms();
+    const std::time_t whole = now / 1000;
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    char text[32];
+    const auto size = std::strftime(text, sizeof text, "time=%Y-%m-%dT%H:%M:%S", &parts);
+    char fraction[8];
+    std::snprintf(fraction, sizeof fraction, ".%03uZ", static_cast<unsigned>(now % 1000) % 1000U);
+    return std::string{text, size} + fraction;
+}
+
 } // namespace
 
 log_line::log_line(std::string_view event)
@@ -76,17 +93,17 @@
 
 void log_line::write() const
 {
-    LOG(INFO) << text_;
+    LOG(INFO) << utc_time() << " level=info " << text_;
 }
 
 void log_line::warn() const
 {
-    LOG(WARNING) << text_;
+    LOG(WARNING) << utc_time() << " level=warning " << text_;
 }
 
 void log_line::error() const
 {
-    LOG(ERROR) << text_;
+    LOG(ERROR) << utc_time() << " level=error " << text_;
 }
 
 } // namespace chivewharf
--- a/modules/daemon/caller_gateway.cpp
+++ b/modules/daemon/caller_gateway.cpp
@@ -71,13 +71,12 @@
 caller_gateway::caller_gateway(core_loop& loop, metrics::registry& metrics, std::string address,
                                runtime::tls_files tls)
     : loop_{loop}, metrics_{metrics}, address_{std::move(address)}, tls_{std::move(tls)},
-      refusals_{metrics.reasons("chivewharf_refusals_total")},
-      response_time_{metrics.histogram("chivewharf_response_seconds")}
+      refusals_{metrics.reasons("chivewharf_refusals_total")}, response_time_{metrics.histogram(
+                                                                   "chivewharf_response_seconds")}
 {
 }
 
-runtime::http_limits
-caller_gateway::limits_of(const settings::cluster_settings& settings) const
+runtime::http_limits caller_gateway::limits_of(const settings::cluster_settings& settings) const
 {
     return {static_cast<std::size_t>(settings.callers.max_body_bytes),
             static_cast<std::size_t>(settings.callers.max_connections),
@@ -125,8 +124,7 @@
         to_response(dispatch::render_refusal(why, work_state::not_run, {}, std::move(message))));
 }
 
-std::optional<dispatch::principal>
-caller_gateway::authenticate(const http_exchange& exchange) const
+std::optional<dispatch::principal> caller_gateway::authenticate(const http_exchange& exchange) const
 {
     const auto field = exchange.header("Authorization");
     if (!field || !field->starts_with(bearer_prefix))
@@ -212,12 +210,11 @@
         open_.erase(waiter);
         loop_.event([waiter](auto& core, const auto& at) { core.caller_gone(waiter, at); });
     });
-    dispatch::caller_request asked{waiter,        operation, who.name, std::move(id),
-                                   std::string{request.body}, {}};
+    dispatch::caller_request asked{
+        waiter, operation, who.name, std::move(id), std::string{request.body}, {}};
     if (*wait)
         asked.wait = milliseconds{**wait};
-    loop_.event(
-        [&asked](auto& core, const auto& at) { core.request(std::move(asked), at); });
+    loop_.event([&asked](auto& core, const auto& at) { core.request(std::move(asked), at); });
 }
 
 void caller_gateway::answer(dispatch::answer_caller one)
@@ -245,8 +242,7 @@
     exchange->respond({200, nlohmann::json{{"ids", ids}}.dump(), "application/json", {}});
 }
 
-void caller_gateway::serve_metrics(const exchange_ptr& exchange,
-                                   const dispatch::principal& /*who*/)
+void caller_gateway::serve_metrics(const exchange_ptr& exchange, const dispatch::principal& /*who*/)
 {
     metrics_.gauge("chivewharf_open_connections") =
         static_cast<double>(server_->open_connections());
@@ -269,7 +265,8 @@
         return;
     }
     const auto id = request.path.substr(admin_submissions_path.size());
-    exchange->respond({200, loop_.core().submission_json(customer->second, id, boot_clock::now()),
+    exchange->respond({200,
+                       loop_.core().submission_json(customer->second, id, boot_clock::now()),
                        "application/json",
                        {}});
 }
--- a/modules/daemon/core_loop.cpp
+++ b/modules/daemon/core_loop.cpp
@@ -13,9 +13,8 @@
 
 void core_loop::start_ticks()
 {
-    ticks_.every(tick_interval, [this] {
-        event([](auto& core, const auto& at) { core.tick(at); });
-    });
+    ticks_.every(tick_interval,
+                 [this] { event([](auto& core, const auto& at) { core.tick(at); }); });
 }
 
 dispatch::clock_reading core_loop::now()
--- /dev/null
+++ b/modules/daemon/daemon.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Module daemon: the shell of an entry host around its decision core.
+///
+/// Purpose: HTTP for callers and upstreams, links to peers, the platform's client, the supervisor
+/// tree and the planned stop.
+/// Depends on: base, metrics, settings, dispatch, configlog, wire, runtime.
+///
+/// Start reading at `entry_daemon`.
+
+#include <daemon/caller_gateway.h>
+#include <daemon/core_loop.h>
+#include <daemon/entry_daemon.h>
+#include <daemon/peer_gateway.h>
+#include <daemon/peer_link.h>
+#include <daemon/platform_gateway.h>
+#include <daemon/upstream_gateway.h>
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -96,8 +96,8 @@
 void peer_gateway::open_link(runtime::gobject_ptr<GSocketConnection> connection,
                              wire::link_side side, const std::string& expected_host)
 {
-    g_socket_set_option(g_socket_connection_get_socket(connection.get()), IPPROTO_TCP,
-                        TCP_NODELAY, 1, nullptr);
+    g_socket_set_option(g_socket_connection_get_socket(connection.get()), IPPROTO_TCP, TCP_NODELAY,
+                        1, nullptr);
     const auto& self = loop_.core().self();
     wire::hello greeting;
     greeting.domain = self.domain;
@@ -248,7 +248,8 @@
     const auto now = boot_clock::now();
     std::vector<link_ptr> idle;
     for (const auto& link : links_) {
-        if (link->ready() && now - link->last_used() > idle_limit)
+        if (link->ready() && now - link->last_used() > idle_limit &&
+            !loop_.core().awaits(link->peer().host))
             idle.push_back(link);
     }
     for (const auto& link : idle)
--- a/modules/daemon/peer_link.h
+++ b/modules/daemon/peer_link.h
@@ -25,8 +25,8 @@
     };
 
     /// Starts the handshake on a connection.
-    static link_ptr open(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side, wire::hello self,
-                         const std::string& key, rng& random, observer observe);
+    static link_ptr open(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side,
+                         wire::hello self, const std::string& key, rng& random, observer observe);
 
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -54,8 +54,8 @@
     std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
 
 private:
-    peer_link(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side, wire::hello self,
-              const std::string& key, rng& random, observer observe);
+    peer_link(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side,
+              wire::hello self, const std::string& key, rng& random, observer observe);
 
     static void bytes_read(GObject* stream, GAsyncResult* result, gpointer self);
     static void bytes_written(GObject* stream, GAsyncResult* result, gpointer self);
--- a/modules/daemon/upstream_gateway.cpp
+++ b/modules/daemon/upstream_gateway.cpp
@@ -103,13 +103,12 @@
     dispatch::call_report report;
     report.end = end_of(result);
     report.message = describe(result, report.end);
-    report.leaving = result.outcome == call_outcome::answered &&
-                     !result.header("Chivewharf-Leaving").empty();
+    report.leaving =
+        result.outcome == call_outcome::answered && !result.header("Chivewharf-Leaving").empty();
     if (report.end == call_end::answered)
         report.body = std::move(result.body);
-    loop_.event([&](auto& core, const auto& at) {
-        core.task_ended(number, std::move(report), at);
-    });
+    loop_.event(
+        [&](auto& core, const auto& at) { core.task_ended(number, std::move(report), at); });
 }
 
 } // namespace chivewharf::daemon
--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -12,6 +12,7 @@
 constexpr duration peer_interval = milliseconds{100};
 constexpr duration slot_interval = milliseconds{20};
 constexpr duration ownership_interval = milliseconds{250};
+constexpr duration config_interval = seconds{1};
 
 } // namespace
 
@@ -54,11 +55,12 @@
       relay_{std::make_unique<reply_relay>()}, service_{table_, ownership_, *relay_, metrics},
       dispatcher_{table_, ownership_, service_, metrics, actions_, random_, self_},
       peers_{self_, std::move(peer_address), dispatcher_, actions_, metrics, random_, now},
-      router_{self_, service_, ownership_, peers_.members(), actions_, metrics}
+      router_{self_, service_, ownership_, peers_.members(), actions_, metrics},
+      config_{self_, settings_->site, settings_->policy.log_retention, actions_, metrics, random_}
 {
     relay_->connect(router_);
     service_.connect(dispatcher_);
-    apply(settings_, {now, 0});
+    apply(settings_, {now, 0}, time_point::max());
 }
 
 entry_host::~entry_host() = default;
@@ -76,6 +78,56 @@
     after_event(now);
 }
 
+void entry_host::use_initial_settings(clock_reading now)
+{
+    in_force_ = true;
+    ownership_.apply(*settings_, time_point::min());
+    after_event(now);
+}
+
+void entry_host::put_in_force(config_change change, clock_reading now)
+{
+    log_line{"config_in_force"}.add("version", change.version).write();
+    // A seat that was added may claim ownership slots only after `new_seat_wait`, so that an owner
+    // that is cut off from the log has stopped by then.
+    auto may_claim_from = time_point::min();
+    const auto wait = change.settings.policy.new_seat_wait;
+    if (!change.seat_time_known)
+        may_claim_from = now.boot + wait;
+    else if (change.seat_since)
+        may_claim_from = now.boot + wait - milliseconds{now.wall - *change.seat_since};
+    in_force_ = true;
+    apply(std::make_shared<const settings::cluster_settings>(std::move(change.settings)), now,
+          may_claim_from);
+    if (on_applied_)
+        on_applied_();
+}
+
+void entry_host::config_was_read(const config_read& read, clock_reading now)
+{
+    if (auto change = config_.on_read(read))
+        put_in_force(std::move(*change), now);
+}
+
+void entry_host::tell_version(clock_reading now)
+{
+    std::vector<std::string> peers;
+    for (const auto& member : peers_.live_peers())
+        peers.push_back(member.host);
+    if (peers.empty()) {
+        for (const auto& seat : settings_->entry_hosts) {
+            if (seat.domain == self_.domain && seat.name != self_.host)
+                peers.push_back(seat.name);
+        }
+    }
+    std::vector<std::string> others;
+    for (const auto& domain : peers_.members().other_domains()) {
+        for (const auto& host : peers_.members().links_to(domain, 1))
+            others.push_back(host.host);
+    }
+    config_.tick(now.wall, peers, others);
+}
+
 std::vector<std::string> entry_host::issue_ids(std::size_t count, clock_reading now)
 {
     return issuer_.issue_block(count, now.boot, now.wall);
@@ -88,6 +140,13 @@
 
 void entry_host::request(caller_request asked, clock_reading now)
 {
+    if (!in_force_) {
+        metrics_.reasons("chivewharf_refusals_total").add(reason::not_ready);
+        actions_.add(answer_caller{
+            asked.who, render_refusal(reason::not_ready, work_state::may_have_run, asked.id,
+                                      "no configuration is in force yet", seconds{1})});
+        return;
+    }
     router_.request(std::move(asked), now.boot);
     after_event(now);
 }
@@ -145,6 +204,12 @@
         [&](wire::handover_records& m) {
             ownership_.on_handover_records(from.host, m, table_, at);
         },
+        [&](wire::config_version& m) { config_.on_version(from.host, m); },
+        [&](wire::config_request& m) { config_.on_request(from.host, m); },
+        [&](wire::config_record& m) {
+            if (auto change = config_.on_record(m))
+                put_in_force(std::move(*change), now);
+        },
         [](auto& /*other*/) {},
     };
     std::visit(handle, message);
@@ -194,6 +259,10 @@
         ownership_.set_live_hosts(std::move(live));
         ownership_.tick(at);
     }
+    if (at >= next_config_tick_) {
+        next_config_tick_ = at + config_interval;
+        tell_version(now);
+    }
     dispatcher_.pump(now);
     if (at >= next_slot_tick_) {
         next_slot_tick_ = at + slot_interval;
@@ -246,8 +315,8 @@
 
 std::string entry_host::status_json()
 {
-    const status_facts facts{self_,       version_,      draining_,
-                             in_flight(), table_.size(), ownership_.owned_slots()};
+    const status_facts facts{self_,       config_.version(), draining_,
+                             in_flight(), table_.size(),     ownership_.owned_slots()};
     return status_report(facts, dispatcher_, peers_);
 }
 
--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -2,6 +2,7 @@
 
 #include <base/rng.h>
 #include <dispatch/action.h>
+#include <dispatch/config_service.h>
 #include <dispatch/customer_directory.h>
 #include <dispatch/identity.h>
 #include <dispatch/ownership_service.h>
@@ -9,6 +10,7 @@
 #include <dispatch/request_router.h>
 #include <dispatch/submission_service.h>
 #include <dispatch/task_dispatcher.h>
+#include <functional>
 #include <memory>
 #include <metrics/registry.h>
 #include <optional>
@@ -27,6 +29,7 @@
 public:
     /// \param self names that the settings were checked to hold
     /// \param peer_address `IP:PORT` where peers connect
+    /// \param settings tell where peers are until a configuration is in force
     /// \param seed for the random choices
     entry_host(identity self, std::string peer_address,
                std::shared_ptr<const settings::cluster_settings> settings,
@@ -35,10 +38,8 @@
     entry_host(const entry_host&) = delete;
     entry_host& operator=(const entry_host&) = delete;
 
-    /// Puts a configuration into force, whole, between two events.
-    /// \param may_claim_from see `ownership_service::apply`
-    void apply(std::shared_ptr<const settings::cluster_settings> settings, clock_reading now,
-               time_point may_claim_from = {});
+    /// Puts the settings of the constructor into force without the log; for a single host.
+    void use_initial_settings(clock_reading now);
 
     /// Owner of a bearer token; none for an unknown token.
     std::optional<principal> authenticate(std::string_view token) const
@@ -67,6 +68,8 @@
     // The platform's log.
     const std::string& ownership_stream() const { return ownership_.stream(); }
     std::uint64_t ownership_offset() const { return ownership_.next_offset(); }
+    std::uint64_t config_offset() const { return config_.next_offset(); }
+    void config_was_read(const config_read& read, clock_reading now);
     void ownership_read(const ownership::log_read& read, clock_reading now);
     void append_ended(const std::string& stream, const std::string& record_id,
                       ownership::append_outcome outcome, clock_reading now);
@@ -105,14 +108,25 @@
     const settings::cluster_settings& settings() const noexcept { return *settings_; }
     const identity& self() const noexcept { return self_; }
 
-    /// Sets the version that status reports.
-    void set_version(std::uint64_t version) noexcept { version_ = version; }
+    /// True once a configuration is in force.
+    bool ready() const noexcept { return in_force_; }
+    std::int64_t version() const noexcept { return config_.version(); }
+
+    /// True while a request is under way with the host.
+    bool awaits(const std::string& host) const { return router_.awaits(host); }
+
+    /// Calls the function after another configuration was put into force.
+    void on_applied(std::function<void()> call) { on_applied_ = std::move(call); }
 
 private:
     class reply_relay;
 
     static submission::table_options table_options_of(const settings::cluster_settings& settings);
     static submission::id_issuer make_issuer(const identity& self, duration id_lifetime);
+    void apply(std::shared_ptr<const settings::cluster_settings> settings, clock_reading now,
+               time_point may_claim_from);
+    void put_in_force(config_change change, clock_reading now);
+    void tell_version(clock_reading now);
     void fail_lost_slots(const std::vector<unsigned>& lost, time_point now);
     void after_event(clock_reading now);
 
@@ -130,10 +144,13 @@
     task_dispatcher dispatcher_;
     peer_service peers_;
     request_router router_;
+    config_service config_;
+    std::function<void()> on_applied_;
     time_point next_peer_tick_{};
     time_point next_slot_tick_{};
     time_point next_ownership_tick_{};
-    std::uint64_t version_ = 0;
+    time_point next_config_tick_{};
+    bool in_force_ = false;
     bool draining_ = false;
 };
 
--- a/modules/dispatch/request_router.cpp
+++ b/modules/dispatch/request_router.cpp
@@ -252,10 +252,7 @@
         service_.remove_waiter(who);
     }
     // A message without content makes the shell open the link again while answers are due.
-    const bool waiting = std::any_of(pending_.begin(), pending_.end(), [&host](const auto& entry) {
-        return entry.second.host == host;
-    });
-    if (waiting)
+    if (awaits(host))
         actions_.add(send_peer{host, wire::ping{}});
 }
 
@@ -286,6 +283,13 @@
     }
 }
 
+bool request_router::awaits(const std::string& host) const
+{
+    const auto is_with = [&host](const auto& entry) { return entry.second.host == host; };
+    return std::any_of(pending_.begin(), pending_.end(), is_with) ||
+           std::any_of(remote_waiters_.begin(), remote_waiters_.end(), is_with);
+}
+
 std::optional<time_point> request_router::next_due() const
 {
     if (expiries_.empty())
--- a/modules/dispatch/request_router.h
+++ b/modules/dispatch/request_router.h
@@ -63,6 +63,9 @@
     /// Answers forwarded requests whose time has passed.
     void tick(time_point now);
 
+    /// True while a request is under way with the host, in either direction.
+    bool awaits(const std::string& host) const;
+
     std::optional<time_point> next_due() const;
     std::size_t forwarded() const noexcept { return pending_.size(); }
 
--- a/modules/dispatch/status_report.h
+++ b/modules/dispatch/status_report.h
@@ -10,7 +10,7 @@
 /// What `GET /v1/admin/status` reports beside workers and members.
 struct status_facts {
     identity self;
-    std::uint64_t version = 0;
+    std::int64_t version = 0;
     bool draining = false;
     std::size_t in_flight = 0;
     std::size_t held_ids = 0;
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -219,6 +219,7 @@
         request.least.reset();
     if (pool_.capacity(wanted.service).workers == 0)
         return {reason::no_upstream, {}, milliseconds{500}};
+    refresh_capacity(*service);
     return service->admission.decide(request, service->queue, limits_, now, random_);
 }
 
@@ -247,13 +248,18 @@
     }
 }
 
+void task_dispatcher::refresh_capacity(service_state& service)
+{
+    const auto total = pool_.capacity(service.config.name).total;
+    service.queue.set_capacity(static_cast<std::uint32_t>(std::lround(total)));
+}
+
 void task_dispatcher::pump_service(service_state& service, clock_reading now)
 {
     if (service.queue.queued_tasks() == 0)
         return;
+    refresh_capacity(service);
     const auto& name = service.config.name;
-    const auto capacity = pool_.capacity(name);
-    service.queue.set_capacity(static_cast<std::uint32_t>(std::lround(capacity.total)));
     while (const auto pick = service.queue.next(now.boot)) {
         const auto found = jobs_.find(pick->job);
         const auto* request = table_.request(found->second.key);
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -139,6 +139,7 @@
     void apply_workers(const settings::cluster_settings& settings, std::string_view domain,
                        time_point now);
     void remove_customer(sched::customer_id customer, time_point now);
+    void refresh_capacity(service_state& service);
     void pump_service(service_state& service, clock_reading now);
     void start(service_state& service, const sched::task_pick& pick, job& of,
                upstream::worker_id worker, clock_reading now);
--- a/modules/runtime/supervisor.cpp
+++ b/modules/runtime/supervisor.cpp
@@ -30,8 +30,8 @@
 
 result<void, runtime_error> supervisor::start_child(child& one)
 {
-    auto started = one.part->start(
-        [this, &one](runtime_error error) { child_failed(one, std::move(error)); });
+    auto started =
+        one.part->start([this, &one](runtime_error error) { child_failed(one, std::move(error)); });
     one.running = started.has_value();
     log_line{"part_started"}
         .add("part", one.part->name())
