Spill queued tasks to entry hosts of other domains

A task that would wait more than 100 ms here goes to the entry host of another domain that reported the most free slots. There it is held like a submission of one task, so the starting rules are the same, and it is never spilled again. The free slots are reported in answer to the configuration version, which already travels between domains every 2 s.

Result: builds, the wire tests pass; not yet measured.

--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -54,12 +54,16 @@
       table_{table_options_of(*settings_)}, ownership_{self_, issuer_, now, actions_, metrics},
       relay_{std::make_unique<reply_relay>()}, service_{table_, ownership_, *relay_, metrics},
       dispatcher_{table_, ownership_, service_, metrics, actions_, random_, self_},
-      peers_{self_, std::move(peer_address), dispatcher_, actions_, metrics, random_, now},
+      spills_{table_, dispatcher_, actions_, metrics}, peers_{self_,       std::move(peer_address),
+                                                              dispatcher_, actions_,
+                                                              metrics,     random_,
+                                                              now},
       router_{self_, service_, ownership_, peers_.members(), actions_, metrics},
       config_{self_, settings_->site, settings_->policy.log_retention, actions_, metrics, random_}
 {
     relay_->connect(router_);
     service_.connect(dispatcher_);
+    dispatcher_.set_spill_observer(spills_);
     apply(settings_, {now, 0}, time_point::max());
 }
 
@@ -72,6 +76,7 @@
     customers_.apply(*settings_);
     service_.apply(settings_, customers_);
     router_.apply(settings_);
+    spills_.apply(customers_);
     dispatcher_.apply(*settings_, customers_, self_.domain, now.boot);
     peers_.apply(*settings_, customers_, now.boot);
     ownership_.apply(*settings_, may_claim_from);
@@ -184,6 +189,7 @@
 void entry_host::peer_down(const std::string& host, clock_reading now)
 {
     router_.peer_down(host);
+    dispatcher_.peer_down(host, now.boot);
     after_event(now);
 }
 
@@ -204,13 +210,22 @@
         [&](wire::handover_records& m) {
             ownership_.on_handover_records(from.host, m, table_, at);
         },
-        [&](wire::config_version& m) { config_.on_version(from.host, m); },
+        [&](wire::config_version& m) {
+            config_.on_version(from.host, m);
+            if (from.domain != self_.domain)
+                actions_.add(send_peer{from.host, dispatcher_.load_report()});
+        },
+        [&](wire::load_report& m) { dispatcher_.targets().report(from.host, m, at); },
+        [&](wire::spill_task& m) {
+            spills_.on_task(from.host, from.incarnation, std::move(m), at);
+        },
+        [&](wire::spill_answer& m) { dispatcher_.spill_answered(from.host, std::move(m), at); },
         [&](wire::config_request& m) { config_.on_request(from.host, m); },
         [&](wire::config_record& m) {
             if (auto change = config_.on_record(m))
                 put_in_force(std::move(*change), now);
         },
-        [](auto& /*other*/) {},
+        [](auto& /*other*/) {}, // hello, proof and ping are the link's
     };
     std::visit(handle, message);
     after_event(now);
@@ -292,6 +307,7 @@
 {
     draining_ = true;
     service_.begin_drain();
+    spills_.begin_drain();
 }
 
 bool entry_host::drained() const
@@ -302,7 +318,7 @@
 std::size_t entry_host::in_flight() const
 {
     return dispatcher_.calls_in_flight() + dispatcher_.queued_tasks() + service_.waiting() +
-           router_.forwarded() + router_.serving_peers();
+           router_.forwarded() + router_.serving_peers() + spills_.serving();
 }
 
 void entry_host::hand_over(clock_reading now)
--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -8,6 +8,7 @@
 #include <dispatch/ownership_service.h>
 #include <dispatch/peer_service.h>
 #include <dispatch/request_router.h>
+#include <dispatch/spill_service.h>
 #include <dispatch/submission_service.h>
 #include <dispatch/task_dispatcher.h>
 #include <functional>
@@ -142,6 +143,7 @@
     std::unique_ptr<reply_relay> relay_;
     submission_service service_;
     task_dispatcher dispatcher_;
+    spill_service spills_;
     peer_service peers_;
     request_router router_;
     config_service config_;
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -25,6 +25,7 @@
     service_state* service = nullptr;
     std::vector<call_id> calls; ///< sends that have not ended
     bool settled = false;
+    bool spilled = false;
 };
 
 /// A task that was given to the shell to send.
@@ -34,6 +35,7 @@
     std::string kind;
     service_state* service = nullptr;
     upstream::worker_id worker = 0;
+    std::string spilled_to; ///< host of another domain; empty for a worker of this one
     std::uint32_t attempt = 1;
     std::uint8_t slot = submission::no_slot;
     std::uint64_t slot_epoch = 0;
@@ -43,6 +45,13 @@
 
 namespace {
 
+/// A task spills when its wait here is longer than this. A hop costs under 10 ms even between
+/// regions, and a shorter wait is not worth the two messages.
+constexpr duration spill_wait = milliseconds{100};
+
+/// The answer of a spilled task may arrive this long after its deadline.
+constexpr duration spill_margin = milliseconds{200};
+
 sched::job_handle handle_of(const submission_key& key)
 {
     return key.low;
@@ -91,6 +100,7 @@
       run_time_{metrics.histogram("chivewharf_run_time_seconds")},
       starts_{metrics.counter("chivewharf_task_starts_total")},
       late_results_{metrics.counter("chivewharf_late_results_total")},
+      spills_{metrics.counter("chivewharf_spills_sent_total")},
       order_{std::make_unique<sched::shortest_remaining_work>()}, sharing_{pool_, self.host,
                                                                            self.incarnation}
 {
@@ -232,11 +242,9 @@
     for (const auto& task : *request.tasks)
         tasks.push_back({index++, estimator_.expected(request.service, task.kind, declared(task))});
     const auto handle = handle_of(request.key);
-    if (!service->queue.enqueue(request.customer, handle, std::move(tasks), now)) {
+    jobs_[handle] = {request.key, service, {}, false, request.spilled};
+    if (!service->queue.enqueue(request.customer, handle, std::move(tasks), now))
         fail(request.key, reason::internal, "the submission could not be queued", now);
-        return;
-    }
-    jobs_[handle] = {request.key, service, {}, false};
 }
 
 void task_dispatcher::pump(clock_reading now)
@@ -267,18 +275,43 @@
             service.queue.remove_job(pick->job);
             continue;
         }
-        const auto worker = pool_.choose(now.boot, name, pick->cost, request->deadline, random_);
-        if (!worker)
-            return;
         if (!guard_.may_start(request->slot, request->slot_epoch, now.boot)) {
             fail(found->second.key, reason::ownership_unproved,
                  "the lease on the id's slot lapsed before the start", now.boot);
             continue;
         }
-        start(service, *pick, found->second, *worker, now);
+        const auto worker = pool_.choose(now.boot, name, pick->cost, request->deadline, random_);
+        if (worker)
+            start(service, *pick, found->second, *worker, now);
+        else if (!spill(service, *pick, found->second, now))
+            return;
     }
 }
 
+call_id task_dispatcher::register_call(service_state& service, const sched::task_pick& pick,
+                                       job& of, std::uint32_t attempt, clock_reading now)
+{
+    service.queue.started(pick, now.boot);
+    if (attempt == 1)
+        service.retries.first_try();
+    queue_wait_.observe(now.boot - pick.arrived);
+    const auto* request = table_.request(of.key);
+    call made;
+    made.key = of.key;
+    made.pick = pick;
+    made.kind = request->tasks[pick.task].kind;
+    made.service = &service;
+    made.attempt = attempt;
+    made.slot = request->slot;
+    made.slot_epoch = request->slot_epoch;
+    made.deadline = request->deadline;
+    made.sent_at = now.boot;
+    const auto number = next_call_++;
+    calls_.emplace(number, std::move(made));
+    of.calls.push_back(number);
+    return number;
+}
+
 void task_dispatcher::start(service_state& service, const sched::task_pick& pick, job& of,
                             upstream::worker_id worker, clock_reading now)
 {
@@ -287,27 +320,104 @@
         service.queue.remove_job(pick.job);
         return;
     }
-    service.queue.started(pick, now.boot);
+    const auto number = register_call(service, pick, of, *attempt, now);
+    auto& made = calls_.at(number);
+    made.worker = worker;
     pool_.task_started(worker);
-    if (*attempt == 1)
-        service.retries.first_try();
-    queue_wait_.observe(now.boot - pick.arrived);
     ++starts_;
+    emit_send(*table_.request(of.key), number, made, now);
+}
+
+bool task_dispatcher::spill(service_state& service, const sched::task_pick& pick, job& of,
+                            clock_reading now)
+{
+    const auto capacity = std::max(1U, service.queue.capacity());
+    const bool no_slots = pool_.capacity(service.config.name).total_slots == 0;
+    if (of.spilled || (!no_slots && service.queue.queued_work() / capacity < spill_wait))
+        return false;
     const auto* request = table_.request(of.key);
-    const call made{of.key,
-                    pick,
-                    request->tasks[pick.task].kind,
-                    &service,
-                    worker,
-                    *attempt,
-                    request->slot,
-                    request->slot_epoch,
-                    request->deadline,
-                    now.boot};
-    const auto number = next_call_++;
-    calls_.emplace(number, made);
-    of.calls.push_back(number);
-    emit_send(*request, number, made, now);
+    // The other host does not see this host's leases, so they must cover the deadline.
+    if (guard_.start_limit(request->slot) < request->deadline)
+        return false;
+    const auto target = targets_.best(service.config.name, now.boot);
+    if (!target)
+        return false;
+    const auto attempt = table_.may_start(of.key, pick.task, now.boot);
+    if (!attempt) {
+        service.queue.remove_job(pick.job);
+        return true;
+    }
+    const auto number = register_call(service, pick, of, *attempt, now);
+    auto& made = calls_.at(number);
+    made.spilled_to = *target;
+    ++spills_;
+    targets_.sent(*target, service.config.name);
+    spill_deadlines_.emplace(made.deadline + spill_margin, number);
+    emit_spill(*table_.request(of.key), number, made, now);
+    return true;
+}
+
+void task_dispatcher::emit_spill(const submission::submission_request& request, call_id number,
+                                 const call& made, clock_reading now)
+{
+    wire::spill_task task;
+    task.request_id = number;
+    task.customer = request.customer;
+    task.service = request.service;
+    task.kind = made.kind;
+    task.task = request.id + '/' + std::to_string(made.pick.task);
+    task.attempt = made.attempt;
+    task.deadline_ms = static_cast<std::uint32_t>(to_ms(made.deadline - now.boot));
+    task.body = request.tasks[made.pick.task].payload;
+    actions_.add(send_peer{made.spilled_to, std::move(task)});
+}
+
+void task_dispatcher::spill_answered(const std::string& host, wire::spill_answer answer,
+                                     time_point now)
+{
+    const auto found = calls_.find(answer.request_id);
+    if (found == calls_.end() || found->second.spilled_to != host) {
+        ++late_results_;
+        return;
+    }
+    call_report report;
+    report.end =
+        answer.end < enum_count<call_end> ? static_cast<call_end>(answer.end) : call_end::lost;
+    report.body = std::move(answer.body);
+    report.message = std::move(answer.message);
+    task_ended(answer.request_id, std::move(report), now);
+}
+
+void task_dispatcher::peer_down(const std::string& host, time_point now)
+{
+    targets_.remove(host);
+    std::vector<call_id> lost;
+    for (const auto& [number, made] : calls_) {
+        if (made.spilled_to == host)
+            lost.push_back(number);
+    }
+    for (const auto number : lost)
+        task_ended(number, {call_end::lost, {}, "the link to " + host + " ended", false}, now);
+}
+
+void task_dispatcher::expire_spills(time_point now)
+{
+    while (!spill_deadlines_.empty() && spill_deadlines_.begin()->first <= now) {
+        const auto number = spill_deadlines_.begin()->second;
+        spill_deadlines_.erase(spill_deadlines_.begin());
+        task_ended(number, {call_end::silent, {}, "no answer from the other domain", false}, now);
+    }
+}
+
+wire::load_report task_dispatcher::load_report() const
+{
+    wire::load_report report;
+    for (const auto& [name, service] : services_) {
+        const auto free = pool_.capacity(name).free_slots;
+        if (free > 0 && service->queue.queued_tasks() == 0)
+            report.services.push_back({name, free});
+    }
+    return report;
 }
 
 void task_dispatcher::emit_send(const submission::submission_request& request, call_id number,
@@ -319,7 +429,9 @@
     send.call = number;
     send.worker = config.name;
     send.address = config.address;
-    send.task = request.id + '/' + std::to_string(made.pick.task);
+    // The id of a spilled task is its whole name, so that runners see the same name everywhere.
+    send.task = jobs_.at(made.pick.job).spilled ? request.id
+                                                : request.id + '/' + std::to_string(made.pick.task);
     send.attempt = made.attempt;
     send.remaining = made.deadline - now.boot;
     send.start_by = now.wall + to_ms(limit - now.boot);
@@ -366,6 +478,10 @@
 
 void task_dispatcher::learn(const call& ended, const call_report& report, time_point now)
 {
+    if (!ended.spilled_to.empty()) {
+        targets_.answered(ended.spilled_to, ended.service->config.name);
+        return;
+    }
     const auto run_time = now - ended.sent_at;
     if (report.end == call_end::answered) {
         run_time_.observe(run_time);
@@ -384,6 +500,8 @@
         return;
     const auto ended = std::move(found->second);
     calls_.erase(found);
+    if (!ended.spilled_to.empty())
+        spill_deadlines_.erase({ended.deadline + spill_margin, number});
     learn(ended, report, now);
     auto result = judge(report);
     const auto why = result.why;
@@ -439,7 +557,10 @@
     if (!effect.reply)
         return;
     const auto handle = handle_of(key);
+    auto* observer = &observer_;
     if (const auto found = jobs_.find(handle); found != jobs_.end()) {
+        if (found->second.spilled)
+            observer = spill_observer_;
         found->second.settled = true;
         found->second.service->queue.remove_job(handle);
         if (!effect.abort_tasks.empty()) {
@@ -448,7 +569,7 @@
         }
         release(handle);
     }
-    observer_.on_settled(key, effect);
+    observer->on_settled(key, effect);
 }
 
 void task_dispatcher::release(sched::job_handle handle)
@@ -461,6 +582,7 @@
 void task_dispatcher::tick(time_point now)
 {
     pool_.tick(now);
+    expire_spills(now);
     for (const auto& expired : table_.tick(now))
         settle(expired.key, expired.effect);
 }
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -5,6 +5,7 @@
 #include <dispatch/action.h>
 #include <dispatch/customer_directory.h>
 #include <dispatch/identity.h>
+#include <dispatch/spill_targets.h>
 #include <dispatch/start_guard.h>
 #include <map>
 #include <memory>
@@ -51,6 +52,7 @@
     std::string service;
     time_point deadline;
     const std::vector<submission::task_request>* tasks = nullptr;
+    bool spilled = false; ///< a task of another domain's entry host; its id names the task
 };
 
 /// Told when a submission got its final answer.
@@ -76,6 +78,9 @@
     task_dispatcher(const task_dispatcher&) = delete;
     task_dispatcher& operator=(const task_dispatcher&) = delete;
 
+    /// Takes the settlements of spilled tasks; called once, right after construction.
+    void set_spill_observer(settlement_observer& observer) { spill_observer_ = &observer; }
+
     /// Puts a configuration into force: services, customers' shares and limits, and the workers of
     /// the domain. Queued work of removed customers and services fails as not run.
     void apply(const settings::cluster_settings& settings, const customer_directory& customers,
@@ -97,6 +102,18 @@
     /// Takes the end of a send.
     void task_ended(call_id call, call_report report, time_point now);
 
+    /// Hosts of other domains to which tasks may spill.
+    spill_targets& targets() noexcept { return targets_; }
+
+    /// Free slots of each service, for the entry hosts of other domains.
+    wire::load_report load_report() const;
+
+    /// Takes the answer of a host to which a task spilled.
+    void spill_answered(const std::string& host, wire::spill_answer answer, time_point now);
+
+    /// The link to a host ended: what spilled there may have run.
+    void peer_down(const std::string& host, time_point now);
+
     /// Cancels a submission.
     submission::consequence cancel(const submission::submission_key& key, time_point now);
 
@@ -143,6 +160,12 @@
     void pump_service(service_state& service, clock_reading now);
     void start(service_state& service, const sched::task_pick& pick, job& of,
                upstream::worker_id worker, clock_reading now);
+    bool spill(service_state& service, const sched::task_pick& pick, job& of, clock_reading now);
+    call_id register_call(service_state& service, const sched::task_pick& pick, job& of,
+                          std::uint32_t attempt, clock_reading now);
+    void expire_spills(time_point now);
+    void emit_spill(const submission::submission_request& request, call_id number, const call& made,
+                    clock_reading now);
     void emit_send(const submission::submission_request& request, call_id number, const call& made,
                    clock_reading now);
     static submission::attempt_result judge(call_report& report);
@@ -161,6 +184,10 @@
     metrics::latency_histogram& run_time_;
     std::uint64_t& starts_;
     std::uint64_t& late_results_;
+    std::uint64_t& spills_;
+    settlement_observer* spill_observer_ = nullptr;
+    spill_targets targets_;
+    std::set<std::pair<time_point, call_id>> spill_deadlines_;
     sched::limits limits_;
     sched::run_time_estimator estimator_;
     std::unique_ptr<sched::job_order> order_;
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -164,7 +164,7 @@
 {
     return fbs::Createspill_task(b, m.request_id, text(b, m.customer), text(b, m.service),
                                  text(b, m.kind), text(b, m.task), m.attempt, m.deadline_ms,
-                                 m.start_by_ms, bytes(b, m.body));
+                                 bytes(b, m.body));
 }
 
 auto write(FlatBufferBuilder& b, const spill_answer& m)
@@ -172,6 +172,15 @@
     return fbs::Createspill_answer(b, m.request_id, m.end, text(b, m.message), bytes(b, m.body));
 }
 
+auto write(FlatBufferBuilder& b, const load_report& m)
+{
+    std::vector<Offset<fbs::service_load>> entries;
+    entries.reserve(m.services.size());
+    for (const auto& one : m.services)
+        entries.push_back(fbs::Createservice_load(b, text(b, one.service), one.free_slots));
+    return fbs::Createload_report(b, b.CreateVector(entries));
+}
+
 // Reading: one overload for each table. Each returns false if a field is absent or out of range.
 
 bool take(std::string& to, const flatbuffers::String* from)
@@ -390,7 +399,6 @@
     m.request_id = t.request_id();
     m.attempt = t.attempt();
     m.deadline_ms = t.deadline_ms();
-    m.start_by_ms = t.start_by_ms();
     return take(m.customer, t.customer()) && take(m.service, t.service()) &&
            take(m.kind, t.kind()) && take(m.task, t.task()) && take(m.body, t.body());
 }
@@ -402,6 +410,21 @@
     return take_optional(m.message, t.message()) && take(m.body, t.body());
 }
 
+bool read(load_report& m, const fbs::load_report& t)
+{
+    if (t.services() == nullptr)
+        return true;
+    if (t.services()->size() > max_service_loads)
+        return false;
+    for (const auto* one : *t.services()) {
+        auto& entry = m.services.emplace_back();
+        entry.free_slots = one->free_slots();
+        if (!take(entry.service, one->service()))
+            return false;
+    }
+    return true;
+}
+
 using decoded = result<message, wire_error>;
 
 template <class Message, class Table>
@@ -439,6 +462,7 @@
     read_as<config_record, fbs::config_record>,
     read_as<spill_task, fbs::spill_task>,
     read_as<spill_answer, fbs::spill_answer>,
+    read_as<load_report, fbs::load_report>,
 };
 static_assert(static_cast<std::size_t>(fbs::body::MAX) == readers.size());
 
--- a/modules/wire/frame_codec.h
+++ b/modules/wire/frame_codec.h
@@ -25,6 +25,7 @@
 inline constexpr std::size_t max_retired_incarnations = 64;
 inline constexpr std::size_t max_lent_slots = 256;
 inline constexpr std::size_t max_slot_epochs = 64;
+inline constexpr std::size_t max_service_loads = 256;
 
 /// Frame of the message, with its length. The caller keeps to the limits above: a frame beyond
 /// them is refused by the peer's decoder.
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -209,7 +209,6 @@
     std::string task; ///< `ID/INDEX`
     std::uint32_t attempt = 1;
     std::uint32_t deadline_ms = 0;
-    std::int64_t start_by_ms = 0;
     std::string body;
     bool operator==(const spill_task&) const = default;
 };
@@ -223,11 +222,24 @@
     bool operator==(const spill_answer&) const = default;
 };
 
+/// Slots of one service that the sender could use at once.
+struct service_load {
+    std::string service;
+    std::uint32_t free_slots = 0;
+    bool operator==(const service_load&) const = default;
+};
+
+/// Free slots of the sender, in answer to `config_version` from another domain.
+struct load_report {
+    std::vector<service_load> services;
+    bool operator==(const load_report&) const = default;
+};
+
 /// Every message between entry hosts.
 using message = std::variant<hello, proof, ping, forward, forward_answer, heartbeat, member_report,
                              usage_average, slot_request, slot_grant, slot_return, promise_request,
                              promise, handover_records, config_version, config_request,
-                             config_record, spill_task, spill_answer>;
+                             config_record, spill_task, spill_answer, load_report>;
 
 /// Name of the message's type, for logs and counters.
 std::string_view name_of(const message& m);
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -34,8 +34,9 @@
             config_version{790},
             config_request{791},
             config_record{791, blob},
-            spill_task{1, "c", "s", "k", "id/0", 1, 2000, 5, blob},
-            spill_answer{1, 3, "why", blob}};
+            spill_task{1, "c", "s", "k", "id/0", 1, 2000, blob},
+            spill_answer{1, 3, "why", blob},
+            load_report{{{"plugdesk", 5}}}};
 }
 
 std::string all_frames()
