Make the test of minimum shares fail without them

Cause: with the minimum share ignored the test still passed, because equal weights gave the customer 3 slots anyway. Change: ask for 4 slots.

Result: the test fails when the code ignores minimum shares and passes with it.

--- a/modules/sched/tests/fair_queue_test.cpp
+++ b/modules/sched/tests/fair_queue_test.cpp
@@ -306,13 +306,13 @@
 {
     simulation sim{10};
     ASSERT_TRUE(sim.queue.set_customer(0, {.weight = 100, .max_share = 0.5}));
-    ASSERT_TRUE(sim.queue.set_customer(1, {.weight = 1, .min_share = 0.3}));
+    ASSERT_TRUE(sim.queue.set_customer(1, {.weight = 1, .min_share = 0.4}));
     ASSERT_TRUE(sim.queue.set_customer(2, {.weight = 1}));
     for (customer_id c = 0; c < 3; ++c)
         sim.add(c, 20, milliseconds{100});
     sim.fill();
     EXPECT_EQ(sim.starts[0], 5U);
-    EXPECT_GE(sim.starts[1], 3U);
+    EXPECT_GE(sim.starts[1], 4U);
     EXPECT_EQ(sim.free, 0U);
 }
 
