--- a/modules/upstream/tests/pool_test.cpp
+++ b/modules/upstream/tests/pool_test.cpp
@@ -234,7 +234,7 @@
         simulation sim{50};
         for (const auto bad : {7U, 30U})
             sim.workers[sim.ids[bad]] = {outcome, milliseconds{1}};
-        sim.run_tasks(10000, 340);
+        sim.run_tasks(100000, 340); // 30 s: long enough for probes
         EXPECT_LT(sim.sent[7] + sim.sent[30], 100) << to_name(outcome);
         sim.workers.clear();
         sim.now += seconds{61};
--- a/modules/upstream/tests/sharing_test.cpp
+++ b/modules/upstream/tests/sharing_test.cpp
@@ -194,6 +194,25 @@
     EXPECT_EQ(busy.sharing.counters().lapsed_borrowed, 0U);
 }
 
+// Guards against a lease that the borrower counts from the arrival of the grant: it would start
+// tasks after the lender's own count has ended.
+TEST(slot_sharing, lease_counts_from_the_request)
+{
+    domain d{2, 20, 1};
+    auto& borrower = *d.hosts[0];
+    const auto slots = [&] { return borrower.pool.capacity(service).total_slots; };
+    const auto own = slots();
+    borrower.sharing.set_backlog(service, 10);
+    const auto sent = borrower.sharing.tick(d.now, d.random);
+    ASSERT_EQ(sent.size(), 1U);
+    const auto grant = d.hosts[1]->sharing.on_request(d.now, borrower.name,
+                                                      std::get<slot_request>(sent[0].message));
+    borrower.sharing.on_grant(d.now + milliseconds{1900}, "e1", grant, d.random);
+    EXPECT_EQ(slots(), own + 10);
+    borrower.pool.tick(d.now + seconds{2});
+    EXPECT_EQ(slots(), own);
+}
+
 // Guards against requests without end while the whole domain is full: at most 8 requests a second
 // for each host, each with one answer.
 TEST(slot_sharing, refusals_back_off)
