--- a/modules/configlog/config_history.cpp
+++ b/modules/configlog/config_history.cpp
@@ -1,7 +1,5 @@
 #include <configlog/config_history.h>
 
-#include <algorithm>
-
 namespace chivewharf::configlog {
 
 namespace {
