Test every settings value with every JSON type

Cause: with the type check of addresses removed, no test failed; the mutated texts rarely give a value another type.

Change: the test of mutated files also puts each type at each place.

Result: settings_test passes in the release build. Lint of the test and the sanitize preset have not been run again for this change.

--- a/modules/settings/tests/settings_test.cpp
+++ b/modules/settings/tests/settings_test.cpp
@@ -300,6 +300,20 @@
     }
     EXPECT_GT(accepted, 0);
     EXPECT_LT(accepted, 3000);
+
+    // Every value of the files in turn gets each type.
+    const auto types = json::parse(R"([null, true, -1, 1.5, "", [], {}, [[]], {"a": {}}])");
+    for (const auto& original : {example("demo.json").value, host_example()}) {
+        const auto leaves = original.flatten();
+        for (const auto& leaf : leaves.items()) {
+            for (const auto& value : types) {
+                auto changed = original;
+                changed[json::json_pointer{leaf.key()}] = value;
+                EXPECT_NO_THROW((void)parse_cluster(make_document(changed, "f"))) << leaf.key();
+                EXPECT_NO_THROW((void)parse_host(make_document(changed, "f"))) << leaf.key();
+            }
+        }
+    }
 }
 
 } // namespace
