--- a/modules/ownership/slot_owner.h
+++ b/modules/ownership/slot_owner.h
@@ -25,6 +25,23 @@
     not_owner,
 };
 
+/// Reason with which an unknown id is refused on a verdict other than `proved`. Such a refusal
+/// always reports that the work may have run, because another incarnation may have started it.
+constexpr reason refusal_reason(slot_verdict verdict) noexcept
+{
+    switch (verdict) {
+    case slot_verdict::proved:
+        return reason::none;
+    case slot_verdict::quarantined:
+        return reason::ownership_quarantine;
+    case slot_verdict::unproved:
+        return reason::ownership_unproved;
+    case slot_verdict::not_owner:
+        break;
+    }
+    return reason::owner_unreachable;
+}
+
 /// Result of one read of the log.
 struct log_read {
     time_point asked_at;     ///< boot clock before the request was sent
--- a/modules/submission/submission_table.cpp
+++ b/modules/submission/submission_table.cpp
@@ -22,7 +22,15 @@
     std::vector<std::string> payloads;
     std::vector<waiter> waiters;
     answer_ptr reply;
-    std::size_t bytes = 0; ///< share of `payload_bytes_`
+    std::size_t fixed_bytes = 0; ///< part of `bytes` that stays until the answer is dropped
+    std::size_t bytes = 0;       ///< share of `payload_bytes_`
+
+    static std::size_t fixed_bytes_of(const submission_request& r)
+    {
+        constexpr auto each_task = sizeof(task_slot) + sizeof(std::uint32_t) + sizeof(std::string);
+        return sizeof(live_submission) + sizeof(answer) + r.customer.size() + r.id.size() +
+               r.service.size() + r.tasks.size() * each_task;
+    }
 
     void enqueue(std::uint32_t task)
     {
@@ -191,7 +199,8 @@
         return refused(reason::malformed_request, "a submission has at least one task");
     if (request.deadline <= now)
         return refused(reason::deadline_passed, "the deadline passed before admission");
-    const auto bytes = body_bytes(request);
+    const auto fixed_bytes = live_submission::fixed_bytes_of(request);
+    const auto bytes = fixed_bytes + body_bytes(request);
     if (size() >= options_.max_entries ||
         payload_bytes_ + bytes + options_.answer_reserve > options_.max_bytes)
         return refused(reason::table_full, "the table of submissions is full");
@@ -208,6 +217,7 @@
     for (const auto task : live.queued)
         live.tasks[task].queue_position = task;
     live.payloads.resize(request.tasks.size());
+    live.fixed_bytes = fixed_bytes;
     live.bytes = bytes;
     if (who)
         live.waiters.push_back(*who);
@@ -392,7 +402,7 @@
         ++(dropped.may_have_started ? reply.counts.may_have_run : reply.counts.not_run);
     }
     reply.work = summarise(reply.counts);
-    std::size_t kept_bytes = 0;
+    std::size_t kept_bytes = live.fixed_bytes;
     if (result == outcome::complete) {
         reply.payloads = std::move(live.payloads);
         for (const auto& payload : reply.payloads)
--- a/modules/submission/submission_table.h
+++ b/modules/submission/submission_table.h
@@ -25,10 +25,11 @@
 /// Bounds and times of the table.
 struct table_options {
     duration answer_keep = seconds{60};
-    duration id_lifetime = seconds{300};           ///< counted from the final answer
-    std::size_t max_entries = 1'000'000;           ///< submissions and bare ids
-    std::size_t max_bytes = 48U * 1024 * 1024;     ///< bodies and answers in flight or kept
-    std::size_t answer_reserve = 8U * 1024 * 1024; ///< part of `max_bytes` that only answers use
+    duration id_lifetime = seconds{300};                   ///< counted from the final answer
+    std::size_t max_entries = 1'000'000;                   ///< submissions and bare ids
+    std::size_t max_bytes = std::size_t{48} * 1024 * 1024; ///< submissions in flight or kept
+    /// Part of `max_bytes` that only answers use, so that admitted work can be answered.
+    std::size_t answer_reserve = std::size_t{8} * 1024 * 1024;
 };
 
 /// One task of a submission.
@@ -181,12 +182,13 @@
 
     /// Holds the id as bare for a whole id lifetime, which is longer than the previous owner would
     /// have held it. Does nothing if the id is held.
-    /// \return false if the table is full
+    /// \return false if the table is full; the handover then counts as one without the records
     bool import(const held_record& record, time_point now);
 
     std::size_t size() const noexcept { return index_.size(); }
 
-    /// Bytes of bodies and answers that count towards `max_bytes`.
+    /// Bytes of the submissions in flight or kept, which count towards `max_bytes`: bodies, answers
+    /// and the state of the submission and its tasks, about 0.5 KB for one task.
     std::size_t payload_bytes() const noexcept { return payload_bytes_; }
 
     /// Bytes allocated for records and the index, without bodies and answers.
