Check that a handover ends the starts at once

Cause: without the flag that stops starts after hand_over, all tests still passed: the unit test looked only after the lease had lapsed, and in the model the old owner read its handover too soon. Change: a test within the lease; in the model the old owner sometimes loses the log after its handover.

--- a/modules/ownership/tests/domain_model.cpp
+++ b/modules/ownership/tests/domain_model.cpp
@@ -273,6 +273,7 @@
         }
         append(from, action);
     }
+    from.log_cut |= chance(30); // it does not read its handover
 }
 
 // What each host does by itself.
--- a/modules/ownership/tests/ownership_test.cpp
+++ b/modules/ownership/tests/ownership_test.cpp
@@ -304,9 +304,17 @@
         EXPECT_EQ(verdict(), slot_verdict::quarantined);
         EXPECT_EQ(core.quarantine_left(0, now), received ? seconds{7} : seconds{300});
     }
-    advance(seconds{301});
+}
+
+// Guards against a start between the export of the records and the reading of the handover.
+TEST_F(slot_owner_test, handover_ends_the_starts_at_once)
+{
+    own_first();
     ASSERT_TRUE(core.hand_over(0, third));
     EXPECT_EQ(verdict(), slot_verdict::unproved);
+    EXPECT_EQ(core.proved_until(0), time_point::min());
+    advance(seconds{15});
+    EXPECT_THAT(core.poll(now).appends, IsEmpty()) << "no renewal either";
     log.push_back(core.hand_over(0, third)->text);
     EXPECT_THAT(read().lost, testing::ElementsAre(0));
 }
