--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -167,18 +167,9 @@
     id_verdict verdict;
     verdict.slot = static_cast<std::uint8_t>(slot);
     verdict.epoch = owner_.own_epoch(slot);
-    switch (owner_.may_admit(slot, now)) {
-    case slot_verdict::proved:
-        verdict.may_start = true;
-        break;
-    case slot_verdict::quarantined:
-        verdict.refusal = {reason::ownership_quarantine, work_state::may_have_run};
-        break;
-    case slot_verdict::unproved:
-    case slot_verdict::not_owner:
-        verdict.refusal = {reason::ownership_unproved, work_state::may_have_run};
-        break;
-    }
+    const auto standing = owner_.may_admit(slot, now);
+    verdict.may_start = standing == slot_verdict::proved;
+    verdict.refusal = {ownership::refusal_reason(standing), work_state::may_have_run};
     return verdict;
 }
 
