Keep links alive only while a request is under way; count control costs

Change: pings and the 1.5 s limit hold while a request or spilled task is under way; other links rely on TCP_USER_TIMEOUT, on membership's suspicion, which now drops the link, and on a limit of 30 s without a received byte. The version travels to the host of the usage exchange. The list of hosts is fetched with If-None-Match, and reads of the log wait longer.

--- a/modules/daemon/core_loop.cpp
+++ b/modules/daemon/core_loop.cpp
@@ -33,6 +33,7 @@
         [this](dispatch::send_task& one) { handlers_.send_task(std::move(one)); },
         [this](dispatch::abort_call& one) { handlers_.abort(one); },
         [this](dispatch::send_peer& one) { handlers_.send_peer(std::move(one)); },
+        [this](dispatch::drop_link& one) { handlers_.drop_link(one); },
         [this](dispatch::append_record& one) { handlers_.append(std::move(one)); },
     };
     for (auto actions = core_.take_actions(); !actions.empty(); actions = core_.take_actions()) {
--- a/modules/daemon/core_loop.h
+++ b/modules/daemon/core_loop.h
@@ -13,6 +13,7 @@
     std::function<void(dispatch::send_task)> send_task;
     std::function<void(const dispatch::abort_call&)> abort;
     std::function<void(dispatch::send_peer)> send_peer;
+    std::function<void(const dispatch::drop_link&)> drop_link;
     std::function<void(dispatch::append_record)> append;
 };
 
--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -70,6 +70,7 @@
     all.send_task = [this](dispatch::send_task one) { upstreams_->send(std::move(one)); };
     all.abort = [this](const dispatch::abort_call& one) { upstreams_->abort(one); };
     all.send_peer = [this](dispatch::send_peer one) { peers_->send(std::move(one)); };
+    all.drop_link = [this](const dispatch::drop_link& one) { peers_->drop(one.host); };
     all.append = [this](dispatch::append_record one) { platform_->append(std::move(one)); };
     return all;
 }
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -14,7 +14,12 @@
 constexpr std::size_t max_waiting = 64;
 constexpr duration connect_backoff = milliseconds{200};
 constexpr guint connect_timeout_seconds = 1;
-constexpr duration idle_limit = seconds{5};
+/// A link on which nothing arrived for this long is closed. It may have gone silent without a
+/// request that would have shown it.
+constexpr duration idle_limit = seconds{30};
+/// The kernel gives a connection up when sent bytes stay without acknowledgement for this long, so
+/// that heartbeats move to a new link before the host is suspected.
+constexpr int unacknowledged_limit_ms = 1000;
 constexpr duration idle_check = seconds{1};
 
 /// Two hosts that connect to each other at once get two links within this time.
@@ -96,8 +101,9 @@
 void peer_gateway::open_link(runtime::gobject_ptr<GSocketConnection> connection,
                              wire::link_side side, const std::string& expected_host)
 {
-    g_socket_set_option(g_socket_connection_get_socket(connection.get()), IPPROTO_TCP, TCP_NODELAY,
-                        1, nullptr);
+    auto* socket = g_socket_connection_get_socket(connection.get());
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms, nullptr);
     const auto& self = loop_.core().self();
     wire::hello greeting;
     greeting.domain = self.domain;
@@ -114,7 +120,8 @@
         },
         [this, expected_host](const link_ptr& link, const std::string& why) {
             link_closed(link, expected_host, why);
-        }};
+        },
+        [this](const link_ptr& link) { return loop_.core().awaits(link->peer().host); }};
     links_.insert(peer_link::open(std::move(connection), side, std::move(greeting), key_, random_,
                                   std::move(observe)));
 }
@@ -235,6 +242,15 @@
     to.waiting.push_back(std::move(one.message));
 }
 
+void peer_gateway::drop(const std::string& host)
+{
+    const auto found = routes_.find(host);
+    if (found == routes_.end() || !found->second.link)
+        return;
+    const auto link = found->second.link;
+    link->close("the host is suspected");
+}
+
 std::size_t peer_gateway::waiting() const
 {
     std::size_t count = 0;
@@ -248,7 +264,7 @@
     const auto now = boot_clock::now();
     std::vector<link_ptr> idle;
     for (const auto& link : links_) {
-        if (link->ready() && now - link->last_used() > idle_limit &&
+        if (link->ready() && now - link->last_received() > idle_limit &&
             !loop_.core().awaits(link->peer().host))
             idle.push_back(link);
     }
--- a/modules/daemon/peer_gateway.h
+++ b/modules/daemon/peer_gateway.h
@@ -12,8 +12,9 @@
 
 namespace chivewharf::daemon {
 
-/// Links to the other entry hosts. A link is opened when there is a message for a host, and closed
-/// after some seconds without one, so that their number does not grow with the domain.
+/// Links to the other entry hosts. A link is opened when there is a message for a host. A link that
+/// went silent is found by pings while a request is under way, by the kernel when bytes are not
+/// acknowledged, and by the membership's suspicion.
 class peer_gateway final : public runtime::supervised {
 public:
     /// \param address `IP:PORT` to listen on
@@ -34,6 +35,9 @@
     /// except a forwarded request, which the core sends again when the link is up.
     void send(dispatch::send_peer one);
 
+    /// Closes the link to the host, so that the next message goes over a new one.
+    void drop(const std::string& host);
+
     /// Messages of all hosts that are queued or being written, for a planned stop.
     std::size_t waiting() const;
 
--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -1,14 +1,15 @@
 #include <daemon/peer_link.h>
 
+#include <algorithm>
+
 namespace chivewharf::daemon {
 
 namespace {
 
 constexpr std::size_t read_bytes = 16384;
 constexpr std::size_t max_queued_bytes = 8U * 1024 * 1024;
-
-template <class T>
-using shared_holder = std::shared_ptr<T>*;
+constexpr duration least_check = milliseconds{50};
+constexpr duration greatest_check = milliseconds{250};
 
 } // namespace
 
@@ -29,7 +30,7 @@
                      wire::hello self, const std::string& key, rng& random, observer observe)
     : connection_{std::move(connection)}, cancellable_{g_cancellable_new()}, side_{side},
       handshake_{side, std::move(self), key, random, boot_clock::now()},
-      monitor_{boot_clock::now()}, observe_{std::move(observe)}, last_used_{boot_clock::now()}
+      monitor_{boot_clock::now()}, observe_{std::move(observe)}, last_received_{boot_clock::now()}
 {
     read_buffer_.resize(read_bytes);
 }
@@ -40,9 +41,6 @@
 {
     if (closed_)
         return;
-    const auto now = boot_clock::now();
-    if (!std::holds_alternative<wire::ping>(message))
-        last_used_ = now;
     const auto frame = wire::encode(message);
     bytes_sent_ += frame.size();
     queued_ += frame;
@@ -50,7 +48,7 @@
         close("the peer does not read");
         return;
     }
-    monitor_.on_sent(now);
+    monitor_.on_sent(boot_clock::now());
     write_more();
 }
 
@@ -101,7 +99,8 @@
         link.close(size == 0 ? "the peer closed the connection" : error->message);
         return;
     }
-    link.monitor_.on_received(boot_clock::now());
+    link.last_received_ = boot_clock::now();
+    link.monitor_.on_received(link.last_received_);
     link.decoder_.feed({link.read_buffer_.data(), static_cast<std::size_t>(size)});
     link.take_messages();
     link.read_more();
@@ -124,10 +123,8 @@
 {
     const auto now = boot_clock::now();
     if (handshake_.done()) {
-        if (!std::holds_alternative<wire::ping>(message)) {
-            last_used_ = now;
+        if (!std::holds_alternative<wire::ping>(message))
             observe_.received(shared_from_this(), std::move(message));
-        }
         return true;
     }
     auto answer = handshake_.receive(message, now);
@@ -151,7 +148,8 @@
     auto next = monitor_.next_check();
     if (!handshake_.done())
         next = std::min(next, handshake_.deadline());
-    check_timer_.once(std::max(next - now, duration{milliseconds{1}}), [this] { check(); });
+    const duration wait = std::clamp<duration>(next - now, least_check, greatest_check);
+    check_timer_.once(wait, [this] { check(); });
 }
 
 void peer_link::check()
@@ -161,14 +159,26 @@
         close("handshake failed: " + in_time.error().message);
         return;
     }
+    if (handshake_.done())
+        keep_alive(now);
+    if (!closed_)
+        schedule_check();
+}
+
+void peer_link::keep_alive(time_point now)
+{
+    const bool wanted = observe_.keep_alive(shared_from_this());
+    // The silence before the first request says nothing about the link.
+    if (wanted && !keeping_alive_)
+        monitor_.on_received(now);
+    keeping_alive_ = wanted;
+    if (!wanted)
+        return;
     const auto action = monitor_.check(now);
-    if (action == wire::link_action::close) {
+    if (action == wire::link_action::close)
         close("nothing was received for too long");
-        return;
-    }
-    if (action == wire::link_action::send_ping && handshake_.done())
+    else if (action == wire::link_action::send_ping)
         send(wire::ping{});
-    schedule_check();
 }
 
 void peer_link::close(const std::string& why)
--- a/modules/daemon/peer_link.h
+++ b/modules/daemon/peer_link.h
@@ -22,6 +22,9 @@
         std::function<void(const link_ptr&)> ready;
         std::function<void(const link_ptr&, wire::message)> received;
         std::function<void(const link_ptr&, const std::string& why)> closed;
+        /// True while an answer is due in either direction. Only then does the link send pings and
+        /// expect to hear from the peer, since pings on every link would exceed the control budget.
+        std::function<bool(const link_ptr&)> keep_alive;
     };
 
     /// Starts the handshake on a connection.
@@ -48,8 +51,8 @@
 
     time_point ready_since() const noexcept { return ready_since_; }
 
-    /// Time of the last message other than a ping, in either direction.
-    time_point last_used() const noexcept { return last_used_; }
+    /// Time at which bytes last arrived.
+    time_point last_received() const noexcept { return last_received_; }
 
     std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
 
@@ -65,6 +68,7 @@
     void take_messages();
     bool take(wire::message message);
     void check();
+    void keep_alive(time_point now);
     void schedule_check();
 
     runtime::gobject_ptr<GSocketConnection> connection_;
@@ -80,10 +84,10 @@
     runtime::timer check_timer_;
     std::shared_ptr<peer_link> self_;
     time_point ready_since_{};
-    time_point last_used_;
+    time_point last_received_;
     std::uint64_t bytes_sent_ = 0;
     bool closed_ = false;
-    bool reading_ = false;
+    bool keeping_alive_ = false;
 };
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/platform_gateway.cpp
+++ b/modules/daemon/platform_gateway.cpp
@@ -14,8 +14,11 @@
 namespace {
 
 constexpr duration call_deadline = seconds{1};
-/// The platform holds a read without new records for this long.
-constexpr duration read_wait = milliseconds{500};
+/// The platform holds a read without new records for this long. A claim of an ownership slot needs
+/// a read that began in the last 2 s; the configuration has no such need, and fewer reads cost
+/// less.
+constexpr duration ownership_wait = milliseconds{1500};
+constexpr duration config_wait = seconds{5};
 constexpr std::size_t read_limit = 100;
 constexpr std::size_t max_read_bytes = 128U * 1024 * 1024;
 constexpr duration first_backoff = milliseconds{100};
@@ -81,9 +84,11 @@
     ownership_.stream = loop.core().ownership_stream();
     ownership_.offset = [](dispatch::entry_host& core) { return core.ownership_offset(); };
     ownership_.take = &platform_gateway::take_ownership;
+    ownership_.wait = ownership_wait;
     config_.stream = dispatch::config_service::stream;
     config_.offset = [](dispatch::entry_host& core) { return core.config_offset(); };
     config_.take = &platform_gateway::take_config;
+    config_.wait = config_wait;
 }
 
 platform_gateway::~platform_gateway()
@@ -144,8 +149,8 @@
     request.method = "GET";
     request.url = "http://" + address_ + "/log/" + one.stream + "?from=" + std::to_string(from) +
                   "&limit=" + std::to_string(read_limit) +
-                  "&wait_ms=" + std::to_string(to_ms(read_wait));
-    request.timeout = read_wait + call_deadline;
+                  "&wait_ms=" + std::to_string(to_ms(one.wait));
+    request.timeout = one.wait + call_deadline;
     request.max_response_bytes = max_read_bytes;
     const auto asked_at = boot_clock::now();
     ++reads_;
@@ -176,7 +181,7 @@
     one.failures = 0;
     (this->*one.take)(answer, from, asked_at);
     // A read that returned at once, without waiting, must not become a busy loop.
-    const bool waited = boot_clock::now() - asked_at > read_wait / 2;
+    const bool waited = boot_clock::now() - asked_at > one.wait / 2;
     const bool more = !reached_end(answer, from);
     one.pause.once(waited || more ? duration{0} : duration{milliseconds{20}},
                    [this, &one] { read(one); });
@@ -215,34 +220,49 @@
     request.url = "http://" + address_ + "/hosts";
     request.timeout = call_deadline;
     request.max_response_bytes = max_read_bytes;
-    call(std::move(request), [this](runtime::call_result result) {
+    if (!hosts_tag_.empty())
+        request.headers.push_back({"If-None-Match", hosts_tag_});
+    call(std::move(request), [this](const runtime::call_result& result) {
         polling_hosts_ = false;
+        if (result.outcome == call_outcome::answered && result.status == 304) {
+            apply_hosts(wall_now_ms());
+            return;
+        }
         const auto answer = parse_answer(result);
-        if (answer.is_object() && answer.contains("hosts") && answer["hosts"].is_array())
-            take_hosts(answer);
-        else
+        if (!answer.is_object() || !answer.contains("hosts") || !answer["hosts"].is_array()) {
             ++host_poll_failures_;
+            return;
+        }
+        hosts_tag_ = result.header("ETag");
+        take_hosts(answer);
     });
 }
 
 void platform_gateway::take_hosts(const json& answer)
 {
-    upstream::platform_list workers;
-    std::vector<membership::known_host> hosts;
+    listed_workers_.workers.clear();
+    listed_hosts_.clear();
     for (const auto& host : answer["hosts"]) {
         if (!host.is_object())
             continue;
         const auto name = host.value("name", "");
         const auto role = host.value("role", "");
         if (role == "worker")
-            workers.workers.push_back({name, host.value("state", "") == "leaving"});
+            listed_workers_.workers.push_back({name, host.value("state", "") == "leaving"});
         else if (role == "entry" && name != loop_.core().self().host)
-            hosts.push_back({host.value("domain", ""), name, host.value("address", "")});
+            listed_hosts_.push_back({host.value("domain", ""), name, host.value("address", "")});
     }
+    apply_hosts(answer.value("as_of_ms", wall_now_ms()));
+}
+
+void platform_gateway::apply_hosts(wall_ms as_of)
+{
     const auto now = core_loop::now();
-    const auto age = milliseconds{now.wall - answer.value("as_of_ms", now.wall)};
-    workers.as_of = now.boot - std::max(duration{age}, duration{0});
-    loop_.event([&](auto& core, const auto& at) { core.platform_hosts(workers, hosts, at); });
+    listed_workers_.as_of =
+        now.boot - std::max(duration{milliseconds{now.wall - as_of}}, duration{0});
+    loop_.event([this](auto& core, const auto& at) {
+        core.platform_hosts(listed_workers_, listed_hosts_, at);
+    });
 }
 
 void platform_gateway::append(dispatch::append_record record)
--- a/modules/daemon/platform_gateway.h
+++ b/modules/daemon/platform_gateway.h
@@ -42,6 +42,7 @@
         std::uint64_t (*offset)(dispatch::entry_host&);
         void (platform_gateway::*take)(const nlohmann::json&, std::uint64_t from,
                                        time_point asked_at);
+        duration wait; ///< for which the platform may hold a read
         runtime::timer pause;
         unsigned failures = 0;
     };
@@ -57,6 +58,7 @@
     void take_config(const nlohmann::json& answer, std::uint64_t from, time_point asked_at);
     void poll_hosts();
     void take_hosts(const nlohmann::json& answer);
+    void apply_hosts(wall_ms as_of);
     void send_appends();
     void append_ended(const dispatch::append_record& record, const runtime::call_result& result);
 
@@ -68,6 +70,9 @@
     std::set<std::shared_ptr<runtime::http_client_call>> calls_;
     reader ownership_;
     reader config_;
+    upstream::platform_list listed_workers_;
+    std::vector<membership::known_host> listed_hosts_;
+    std::string hosts_tag_; ///< ETag of the last list
     runtime::timer hosts_timer_;
     runtime::timer append_timer_;
     std::deque<dispatch::append_record> queue_;
--- a/modules/dispatch/action.h
+++ b/modules/dispatch/action.h
@@ -46,6 +46,11 @@
     wire::message message;
 };
 
+/// Close the link to a host that may have gone silent; the next message opens a new one.
+struct drop_link {
+    std::string host;
+};
+
 /// Append a record to a stream of the platform's log.
 struct append_record {
     std::string stream;
@@ -54,7 +59,8 @@
 };
 
 /// What the shell must do after an event.
-using action = std::variant<answer_caller, send_task, abort_call, send_peer, append_record>;
+using action =
+    std::variant<answer_caller, send_task, abort_call, send_peer, drop_link, append_record>;
 
 /// Collects actions in the order in which they were decided.
 class action_list {
--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -116,15 +116,12 @@
 
 void entry_host::tell_version(clock_reading now)
 {
+    // The host of the usage exchange hears the version on the same link.
     std::vector<std::string> peers;
-    for (const auto& member : peers_.live_peers())
-        peers.push_back(member.host);
-    if (peers.empty()) {
-        for (const auto& seat : settings_->entry_hosts) {
-            if (seat.domain == self_.domain && seat.name != self_.host)
-                peers.push_back(seat.name);
-        }
-    }
+    if (peers_.live_peers().empty())
+        peers = seats_of_domain();
+    else if (!peers_.usage_partner().empty())
+        peers.push_back(peers_.usage_partner());
     std::vector<std::string> others;
     for (const auto& domain : peers_.members().other_domains()) {
         for (const auto& host : peers_.members().links_to(domain, 1))
@@ -133,6 +130,16 @@
     config_.tick(now.wall, peers, others);
 }
 
+std::vector<std::string> entry_host::seats_of_domain() const
+{
+    std::vector<std::string> seats;
+    for (const auto& seat : settings_->entry_hosts) {
+        if (seat.domain == self_.domain && seat.name != self_.host)
+            seats.push_back(seat.name);
+    }
+    return seats;
+}
+
 std::vector<std::string> entry_host::issue_ids(std::size_t count, clock_reading now)
 {
     return issuer_.issue_block(count, now.boot, now.wall);
@@ -310,6 +317,11 @@
     spills_.begin_drain();
 }
 
+bool entry_host::awaits(const std::string& host) const
+{
+    return router_.awaits(host) || spills_.awaits(host) || dispatcher_.targets().awaits(host);
+}
+
 bool entry_host::drained() const
 {
     return draining_ && in_flight() == 0;
--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -113,8 +113,8 @@
     bool ready() const noexcept { return in_force_; }
     std::int64_t version() const noexcept { return config_.version(); }
 
-    /// True while a request is under way with the host.
-    bool awaits(const std::string& host) const { return router_.awaits(host); }
+    /// True while a request or a spilled task is under way with the host, in either direction.
+    bool awaits(const std::string& host) const;
 
     /// Calls the function after another configuration was put into force.
     void on_applied(std::function<void()> call) { on_applied_ = std::move(call); }
@@ -128,6 +128,7 @@
                time_point may_claim_from);
     void put_in_force(config_change change, clock_reading now);
     void tell_version(clock_reading now);
+    std::vector<std::string> seats_of_domain() const;
     void fail_lost_slots(const std::vector<unsigned>& lost, time_point now);
     void after_event(clock_reading now);
 
--- a/modules/dispatch/peer_service.cpp
+++ b/modules/dispatch/peer_service.cpp
@@ -45,6 +45,11 @@
 
 void peer_service::carry_out(membership::member_output output, time_point now)
 {
+    // The question to a suspect must not go over the link on which the suspect went silent.
+    for (const auto& event : output.events) {
+        if (event.change == membership::member_change::suspected)
+            actions_.add(drop_link{event.host});
+    }
     for (auto& send : output.sends) {
         const bool beat = std::holds_alternative<membership::heartbeat>(send.message);
         ++(beat ? heartbeats_ : reports_);
@@ -143,6 +148,7 @@
         peers.push_back(member.host);
     if (auto exchange = usage_.tick(peers, now, random_)) {
         ++usage_messages_;
+        usage_partner_ = exchange->host;
         actions_.add(send_peer{exchange->host, to_wire(exchange->message)});
     }
 }
--- a/modules/dispatch/peer_service.h
+++ b/modules/dispatch/peer_service.h
@@ -61,6 +61,9 @@
     /// Other live hosts of the domain.
     std::vector<membership::member> live_peers() const;
 
+    /// Host of the last usage exchange; empty before the first.
+    const std::string& usage_partner() const noexcept { return usage_partner_; }
+
     /// Usage of a customer over the domain, in slots.
     double domain_usage(std::string_view customer, time_point now) const;
 
@@ -80,6 +83,7 @@
     std::map<std::string, double> host_weights_;
     std::map<sched::customer_id, double> last_usage_; ///< slot-seconds at the last measurement
     std::map<sched::customer_id, double> own_rate_;   ///< slots, smoothed
+    std::string usage_partner_;
     time_point next_measure_;
     time_point last_measure_;
     bool superseded_ = false;
--- a/modules/dispatch/spill_service.cpp
+++ b/modules/dispatch/spill_service.cpp
@@ -1,5 +1,7 @@
 #include <dispatch/spill_service.h>
 
+#include <algorithm>
+
 namespace chivewharf::dispatch {
 
 namespace {
@@ -69,6 +71,12 @@
                         now);
 }
 
+bool spill_service::awaits(const std::string& host) const
+{
+    return std::any_of(senders_.begin(), senders_.end(),
+                       [&host](const auto& entry) { return entry.second.host == host; });
+}
+
 void spill_service::on_settled(const submission::submission_key& key,
                                const submission::consequence& effect)
 {
--- a/modules/dispatch/spill_service.h
+++ b/modules/dispatch/spill_service.h
@@ -28,6 +28,9 @@
     /// Tasks of other hosts that have not been answered.
     std::size_t serving() const noexcept { return senders_.size(); }
 
+    /// True while an answer to the host is due.
+    bool awaits(const std::string& host) const;
+
     void on_settled(const submission::submission_key& key,
                     const submission::consequence& effect) override;
 
--- a/modules/dispatch/spill_targets.cpp
+++ b/modules/dispatch/spill_targets.cpp
@@ -34,6 +34,21 @@
     return host;
 }
 
+void spill_targets::sent(const std::string& host, const std::string& service)
+{
+    ++outstanding_[host];
+    change(host, service, -1);
+}
+
+void spill_targets::answered(const std::string& host, const std::string& service)
+{
+    if (const auto found = outstanding_.find(host); found != outstanding_.end()) {
+        if (--found->second == 0)
+            outstanding_.erase(found);
+    }
+    change(host, service, 1);
+}
+
 void spill_targets::change(const std::string& host, const std::string& service, int slots)
 {
     const auto found = hosts_.find(host);
--- a/modules/dispatch/spill_targets.h
+++ b/modules/dispatch/spill_targets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,8 +23,11 @@
     std::optional<std::string> best(std::string_view service, time_point now) const;
 
     /// A task was sent to the host, or its answer came back.
-    void sent(const std::string& host, const std::string& service) { change(host, service, -1); }
-    void answered(const std::string& host, const std::string& service) { change(host, service, 1); }
+    void sent(const std::string& host, const std::string& service);
+    void answered(const std::string& host, const std::string& service);
+
+    /// True while the host has not answered all that was sent to it.
+    bool awaits(const std::string& host) const { return outstanding_.contains(host); }
 
 private:
     struct host_load {
@@ -34,6 +38,7 @@
     void change(const std::string& host, const std::string& service, int slots);
 
     std::map<std::string, host_load> hosts_;
+    std::map<std::string, std::size_t> outstanding_;
 };
 
 } // namespace chivewharf::dispatch
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -104,6 +104,7 @@
 
     /// Hosts of other domains to which tasks may spill.
     spill_targets& targets() noexcept { return targets_; }
+    const spill_targets& targets() const noexcept { return targets_; }
 
     /// Free slots of each service, for the entry hosts of other domains.
     wire::load_report load_report() const;
--- a/testing/standin_platform/main.cpp
+++ b/testing/standin_platform/main.cpp
@@ -74,8 +74,10 @@
         delay_ms_ = wanted.value("delay_ms", delay_ms_);
         if (wanted.contains("keep"))
             log_.keep_last(wanted["keep"].get<std::size_t>());
-        if (wanted.contains("hosts"))
+        if (wanted.contains("hosts")) {
             hosts_ = wanted["hosts"];
+            ++hosts_version_;
+        }
         if (!outage_)
             drop_hung();
         exchange.respond(json_response(200, {{"ok", true}}));
@@ -177,6 +179,7 @@
 
     log_store log_;
     json hosts_ = json::array();
+    std::uint64_t hosts_version_ = 1;
     std::list<exchange_ptr> hung_;
     std::list<std::unique_ptr<waiting_read>> waiting_;
     bool outage_ = false;
