--- a/bench/capacity/capacity_bench.cpp
+++ b/bench/capacity/capacity_bench.cpp
@@ -198,7 +198,14 @@
     return info.uordblks + info.hblkhd;
 }
 
-void measure(const size_point& size)
+/// Control cost of one host.
+struct control_cost {
+    double heap_bytes = 0;
+    double core_percent = 0;
+    double membership_bytes = 0; ///< a second, with TCP/IP, without slot messages
+};
+
+control_cost measure(const size_point& size)
 {
     const auto heap_before = heap_bytes();
     simulated_domain domain{size};
@@ -221,6 +228,15 @@
         std::printf("        %-16s %6.2f messages/s %8.1f frame bytes/s\n",
                     std::string{type}.c_str(), static_cast<double>(sum.messages) / host_seconds,
                     static_cast<double>(sum.frame_bytes) / host_seconds);
+    control_cost cost{heap, processor / host_seconds * 100, 0};
+    for (const auto& [type, sum] : domain.by_type) {
+        // Slot messages follow the load, not the size; the policy benchmark counts them.
+        if (!type.starts_with("slot_"))
+            cost.membership_bytes +=
+                static_cast<double>(sum.frame_bytes + sum.messages * 2 * tcp_ip_bytes) /
+                host_seconds;
+    }
+    return cost;
 }
 
 } // namespace
@@ -230,11 +246,15 @@
 {
     FLAGS_minloglevel = google::GLOG_ERROR;
     using chivewharf::bench::size_point;
+    chivewharf::bench::control_cost cost; // of the design size, which comes last
     std::puts("domains  hosts  workers  customers   heap KiB   core %  msgs/s  sent B/s");
     for (const auto& size :
          {size_point{3, 3, 17, 2}, size_point{3, 3, 17, 12}, size_point{3, 3, 17, 120},
           size_point{3, 3, 100, 12}, size_point{3, 3, 340, 12}, size_point{3, 16, 100, 12},
           size_point{3, 48, 340, 12}, size_point{5, 48, 340, 120}})
-        chivewharf::bench::measure(size);
+        cost = chivewharf::bench::measure(size);
+    std::printf("figure capacity.control_bytes_per_s %.0f\n", cost.membership_bytes);
+    std::printf("figure capacity.control_core_percent %.3f\n", cost.core_percent);
+    std::printf("figure capacity.heap_bytes %.0f\n", cost.heap_bytes);
     return 0;
 }
