daemon: Let an operator keep new callers away from an entry host

Before a planned stop an operator could only send SIGTERM, which also ends the process. POST /v1/admin/drain?self=1 turns /readyz to 503 and undrain?self=1 turns it back; requests that arrive are still served. GET /v1/admin/status reports ready and drained, since draining means the planned stop.

--- a/modules/daemon/caller_gateway.cpp
+++ b/modules/daemon/caller_gateway.cpp
@@ -137,7 +137,7 @@
     const auto& path = exchange.request().path;
     if (path != "/healthz" && path != "/readyz")
         return false;
-    const bool good = path == "/healthz" || ready_;
+    const bool good = path == "/healthz" || is_ready();
     exchange.respond({good ? 200U : 503U, good ? "ok\n" : "not ready\n", "text/plain", {}});
     return true;
 }
@@ -252,7 +252,10 @@
 
 void caller_gateway::status(const exchange_ptr& exchange, const dispatch::principal& /*who*/)
 {
-    exchange->respond({200, loop_.core().status_json(), "application/json", {}});
+    auto report = nlohmann::json::parse(loop_.core().status_json());
+    report["ready"] = is_ready();
+    report["drained"] = drained_;
+    exchange->respond({200, report.dump(), "application/json", {}});
 }
 
 void caller_gateway::describe_submission(const exchange_ptr& exchange,
@@ -297,6 +300,10 @@
                                  bool drained)
 {
     const auto& query = exchange->request().query;
+    if (const auto self = query.find("self"); self != query.end() && self->second == "1") {
+        set_self_drained(*exchange, who, drained);
+        return;
+    }
     const auto worker = query.find("worker");
     if (worker == query.end()) {
         refuse(*exchange, reason::malformed_request, "query parameter worker is missing");
@@ -321,4 +328,14 @@
     exchange->respond({200, R"({"ok":true})", "application/json", {}});
 }
 
+void caller_gateway::set_self_drained(runtime::http_exchange& exchange,
+                                      const dispatch::principal& who, bool drained)
+{
+    drained_ = drained;
+    log_line{drained ? "host_drained" : "host_undrained"}.add("operator", who.name).write();
+    ++metrics_.counter("chivewharf_operator_actions_total",
+                       drained ? "action=\"drain_self\"" : "action=\"undrain_self\"");
+    exchange.respond({200, R"({"ok":true})", "application/json", {}});
+}
+
 } // namespace chivewharf::daemon
--- a/modules/daemon/caller_gateway.h
+++ b/modules/daemon/caller_gateway.h
@@ -66,6 +66,10 @@
     void drain(const exchange_ptr& exchange, const dispatch::principal& who);
     void undrain(const exchange_ptr& exchange, const dispatch::principal& who);
     void set_drained(const exchange_ptr& exchange, const dispatch::principal& who, bool drained);
+    void set_self_drained(runtime::http_exchange& exchange, const dispatch::principal& who,
+                          bool drained);
+    /// False while an operator keeps new callers away; requests that arrive are still served.
+    bool is_ready() const noexcept { return ready_ && !drained_; }
     void ask_core(const exchange_ptr& exchange, wire::operation operation,
                   const dispatch::principal& who, std::string id);
     void refuse(runtime::http_exchange& exchange, reason why, std::string message = {});
@@ -81,6 +85,7 @@
     submission::waiter next_waiter_ = 1;
     std::uint16_t port_ = 0;
     bool ready_ = false;
+    bool drained_ = false; ///< by an operator
     metrics::reason_counters& refusals_;
     metrics::latency_histogram& response_time_;
 };
