--- a/modules/operator_cli/entry_clients.cpp
+++ b/modules/operator_cli/entry_clients.cpp
@@ -16,8 +16,10 @@
 {
     if (!reached)
         return "unreachable";
-    if (body.is_object() && body.contains("reason"))
-        return body.value("reason", "") + ": " + body.value("message", "");
+    if (body.is_object() && body.contains("reason")) {
+        const auto message = body.value("message", "");
+        return body.value("reason", "") + (message.empty() ? "" : ": " + message);
+    }
     return "HTTP status " + std::to_string(status);
 }
 
@@ -27,28 +29,41 @@
 {
 }
 
+entry_answer entry_clients::to_answer(const std::string& address,
+                                      const runtime::call_result& result)
+{
+    entry_answer one{address, result.outcome == runtime::call_outcome::answered, result.status,
+                     nullptr};
+    if (!one.reached)
+        return one;
+    one.body = json::parse(result.body, nullptr, false);
+    if (one.body.is_discarded())
+        one.body = nullptr;
+    return one;
+}
+
+runtime::http_call entry_clients::make_call(const std::string& address, const std::string& method,
+                                            const std::string& path) const
+{
+    runtime::http_call call;
+    call.method = method;
+    call.url = "http://" + address + path;
+    call.headers.push_back({"Authorization", authorization_});
+    call.timeout = call_timeout;
+    return call;
+}
+
 std::vector<entry_answer> entry_clients::ask(const std::string& method, const std::string& path)
 {
     std::vector<runtime::http_call> calls;
-    for (const auto& address : addresses_) {
-        runtime::http_call call;
-        call.method = method;
-        call.url = "http://" + address + path;
-        call.headers.push_back({"Authorization", authorization_});
-        call.timeout = call_timeout;
-        calls.push_back(std::move(call));
-    }
-    const auto results = calls_.run(std::move(calls));
+    for (const auto& address : addresses_)
+        calls.push_back(make_call(address, method, path));
+    auto results = calls_.run(std::move(calls));
     std::vector<entry_answer> answers;
     for (std::size_t i = 0; i < results.size(); ++i) {
-        entry_answer one{addresses_[i], false, results[i].status, nullptr};
-        one.reached = results[i].outcome == runtime::call_outcome::answered;
-        if (one.reached) {
-            one.body = json::parse(results[i].body, nullptr, false);
-            if (one.body.is_discarded())
-                one.body = nullptr;
-        }
-        answers.push_back(std::move(one));
+        if (results[i].outcome == runtime::call_outcome::lost)
+            results[i] = calls_.run(make_call(addresses_[i], method, path));
+        answers.push_back(to_answer(addresses_[i], results[i]));
     }
     return answers;
 }
--- a/modules/operator_cli/entry_clients.h
+++ b/modules/operator_cli/entry_clients.h
@@ -29,10 +29,16 @@
     entry_clients(std::vector<std::string> addresses, std::string authorization,
                   time_point deadline);
 
-    /// Asks all hosts at the same time.
+    /// Asks all hosts at the same time. A call whose connection was lost is repeated once: a server
+    /// may close an idle connection just when it is used again, and all calls of the operators'
+    /// interface may be repeated without a further effect.
     std::vector<entry_answer> ask(const std::string& method, const std::string& path);
 
 private:
+    static entry_answer to_answer(const std::string& address, const runtime::call_result& result);
+    runtime::http_call make_call(const std::string& address, const std::string& method,
+                                 const std::string& path) const;
+
     std::vector<std::string> addresses_;
     std::string authorization_;
     call_runner calls_;
--- a/modules/operator_cli/host_commands.cpp
+++ b/modules/operator_cli/host_commands.cpp
@@ -350,7 +350,9 @@
                                                : "no backlog"});
         table.write(self.out);
     }
-    return faults_of(answers);
+    if (const auto faults = faults_of(answers); !faults)
+        return faults;
+    return faults_of(hosts);
 }
 
 } // namespace chivewharf::operator_cli
