--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -65,7 +65,10 @@
 
 http_server::~http_server()
 {
-    stop_listening();
+    if (accept_source_ != nullptr) {
+        g_source_destroy(accept_source_);
+        g_source_unref(accept_source_);
+    }
     g_signal_handlers_disconnect_by_data(server_.get(), this);
     soup_server_disconnect(server_.get());
     for (auto* open : connections_)
@@ -90,22 +93,24 @@
     if (!socket)
         return unexpected{socket.error()};
     listener_ = std::move(*socket);
+    // libsoup keeps connections open between requests only while it has a listener of its own, so it
+    // gets this one. It never accepts: the source below has the higher priority and accepts until
+    // the queue is empty.
+    GError* error = nullptr;
+    if (soup_server_listen_socket(server_.get(), listener_.get(), SoupServerListenOptions{},
+                                  &error) == FALSE) {
+        const gerror_ptr owner{error};
+        return unexpected{runtime_error{runtime_errc::bind_failed,
+                                        "cannot listen on " + std::string{address} + ": " +
+                                            error->message}};
+    }
     accept_source_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
+    g_source_set_priority(accept_source_, G_PRIORITY_HIGH);
     g_source_set_callback(accept_source_, G_SOURCE_FUNC(&http_server::accept_ready), this, nullptr);
     g_source_attach(accept_source_, nullptr);
     return local_port(listener_.get());
 }
 
-void http_server::stop_listening()
-{
-    if (accept_source_ == nullptr)
-        return;
-    g_source_destroy(accept_source_);
-    g_source_unref(accept_source_);
-    accept_source_ = nullptr;
-    listener_.reset();
-}
-
 gboolean http_server::accept_ready(GSocket* socket, GIOCondition /*condition*/, gpointer self)
 {
     auto* server = static_cast<http_server*>(self);
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -50,9 +50,6 @@
     result<std::uint16_t, runtime_error> listen(std::string_view address,
                                                 const tls_files& tls = {});
 
-    /// Accepts no further connections. Open ones go on.
-    void stop_listening();
-
     /// Replaces the limits; open connections are not closed.
     void set_limits(const http_limits& limits) { limits_ = limits; }
 
--- /dev/null
+++ b/testing/standin_caller/summary.cpp
@@ -0,0 +1,58 @@
+#include "summary.h"
+
+#include <algorithm>
+
+namespace chivewharf::testing_support {
+
+using nlohmann::json;
+
+namespace {
+
+json percentiles(std::vector<duration> values)
+{
+    if (values.empty())
+        return nullptr;
+    std::sort(values.begin(), values.end());
+    const auto at = [&values](double share) {
+        const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+        return to_seconds(values[std::min(index, values.size() - 1)]) * 1000.0;
+    };
+    return {{"p50", at(0.5)}, {"p90", at(0.9)}, {"p99", at(0.99)}, {"max", at(1.0)}};
+}
+
+} // namespace
+
+json summary::to_json(duration took, const std::vector<submission_record>& submissions,
+                      bool list) const
+{
+    const auto number = [&submissions](auto predicate) {
+        return std::count_if(submissions.begin(), submissions.end(), predicate);
+    };
+    json result{
+        {"seconds", to_seconds(took)},
+        {"responses", latencies_.size()},
+        {"per_second", static_cast<double>(latencies_.size()) / to_seconds(took)},
+        {"latency_ms", percentiles(latencies_)},
+        {"first_response_ms", percentiles(first_responses_)},
+        {"outcomes", outcomes_},
+        {"wrong_answers", number([](const auto& one) { return one.wrong_answer; })},
+        {"conflicting_answers", number([](const auto& one) { return one.conflicting; })},
+        {"unanswered", number([](const auto& one) { return one.answers == 0; })},
+    };
+    if (!list)
+        return result;
+    auto& all = result["submissions"] = json::array();
+    for (const auto& one : submissions) {
+        all.push_back({{"id", one.id},
+                       {"outcome", one.outcome},
+                       {"reason", one.reason},
+                       {"work", one.work},
+                       {"tasks", one.tasks},
+                       {"sends", one.sends},
+                       {"answers", one.answers},
+                       {"cancel_sent", one.cancel_sent}});
+    }
+    return result;
+}
+
+} // namespace chivewharf::testing_support
