http_client: Use one libsoup session for each host

A libsoup session probes each of its idle connections with a read for every request: strace counted 190892 failed reads in 2000 submissions, 95 for each request, with 8 workers in one session. The client now keeps one session for each host and drops a session that was not used for the idle time. The limit on all connections becomes a limit on calls in progress; a call over it ends as not_sent.

--- a/modules/runtime/http_client.h
+++ b/modules/runtime/http_client.h
@@ -11,6 +11,7 @@
 #include <runtime/http_message.h>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace chivewharf::runtime {
 
@@ -62,6 +63,7 @@
 
 /// Limits of an `http_client`.
 struct http_client_limits {
+    /// Calls in progress; further ones end as `not_sent`. Idle connections are not counted.
     int max_connections = 4096;
     int max_connections_per_host = 64;
     /// Idle connections are closed before a typical server closes them (often 5 s), because a
@@ -85,7 +87,19 @@
                                            before_send_function before_send = {});
 
 private:
-    gobject_ptr<SoupSession> session_;
+    /// One session for each host. A session probes all of its idle connections with a read for
+    /// each request: with one session for 8 workers, that was 95 system calls a request.
+    struct host_session {
+        gobject_ptr<SoupSession> session;
+        time_point last_used;
+    };
+
+    SoupSession* session_for(std::string_view url, time_point now);
+
+    http_client_limits limits_;
+    std::unordered_map<std::string, host_session> sessions_;
+    time_point next_cleanup_{};
+    std::shared_ptr<int> calls_ = std::make_shared<int>(0);
 };
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/http_client_call.cpp
+++ b/modules/runtime/http_client_call.cpp
@@ -13,25 +13,29 @@
 } // namespace
 
 std::shared_ptr<http_client_call>
-http_client_call::start(SoupSession* session, http_call call, http_client::done_function done,
+http_client_call::start(SoupSession* session, std::shared_ptr<int> calls, http_call call,
+                        http_client::done_function done,
                         http_client::before_send_function before_send)
 {
-    const std::shared_ptr<http_client_call> started{
-        new http_client_call{std::move(call), std::move(done), std::move(before_send)}};
+    const std::shared_ptr<http_client_call> started{new http_client_call{
+        std::move(calls), std::move(call), std::move(done), std::move(before_send)}};
     started->self_ = started;
     started->send(session);
     return started;
 }
 
-http_client_call::http_client_call(http_call call, http_client::done_function done,
+http_client_call::http_client_call(std::shared_ptr<int> calls, http_call call,
+                                   http_client::done_function done,
                                    http_client::before_send_function before_send)
-    : call_{std::move(call)}, done_{std::move(done)}, before_send_{std::move(before_send)},
-      cancellable_{g_cancellable_new()}
+    : calls_{std::move(calls)}, call_{std::move(call)}, done_{std::move(done)},
+      before_send_{std::move(before_send)}, cancellable_{g_cancellable_new()}
 {
+    ++*calls_;
 }
 
 http_client_call::~http_client_call()
 {
+    --*calls_;
     if (message_)
         g_signal_handlers_disconnect_by_data(message_.get(), this);
 }
@@ -60,18 +64,28 @@
 
 void http_client_call::send(SoupSession* session)
 {
+    if (session == nullptr) {
+        refuse("the limit on calls in progress is reached");
+        return;
+    }
     if (!build_message()) {
-        // Reported from the loop, so that `done` never runs inside http_client::send().
-        deadline_.once(duration{0}, [this] {
-            finish(call_outcome::not_sent, "invalid URL \"" + call_.url + '"');
-        });
+        refuse("invalid URL \"" + call_.url + '"');
         return;
     }
+    session_ = retain(session);
     deadline_.once(call_.timeout, [this] { stop(call_outcome::timed_out); });
     soup_session_send_async(session, message_.get(), G_PRIORITY_DEFAULT, cancellable_.get(),
                             &http_client_call::response_started, this);
 }
 
+void http_client_call::refuse(std::string message)
+{
+    // Reported from the loop, so that `done` never runs inside http_client::send().
+    deadline_.once(duration{0}, [this, text = std::move(message)] {
+        finish(call_outcome::not_sent, text);
+    });
+}
+
 void http_client_call::cancel()
 {
     stop(call_outcome::cancelled);
--- a/modules/runtime/http_client_call.h
+++ b/modules/runtime/http_client_call.h
@@ -10,8 +10,10 @@
 class http_client_call : public std::enable_shared_from_this<http_client_call> {
 public:
     /// Used by `http_client::send` only.
-    static std::shared_ptr<http_client_call> start(SoupSession* session, http_call call,
-                                                   http_client::done_function done,
+    /// \param session none if the client's limit is reached, which ends the call as `not_sent`
+    /// \param calls incremented while the call is in progress
+    static std::shared_ptr<http_client_call> start(SoupSession* session, std::shared_ptr<int> calls,
+                                                   http_call call, http_client::done_function done,
                                                    http_client::before_send_function before_send);
 
     http_client_call(const http_client_call&) = delete;
@@ -28,7 +30,7 @@
     void abandon();
 
 private:
-    http_client_call(http_call call, http_client::done_function done,
+    http_client_call(std::shared_ptr<int> calls, http_call call, http_client::done_function done,
                      http_client::before_send_function before_send);
 
     static void starting(SoupMessage* message, gpointer self);
@@ -38,15 +40,18 @@
 
     bool build_message();
     void send(SoupSession* session);
+    void refuse(std::string message);
     void read_chunk();
     void stop(call_outcome why);
     void fail(GError* error);
     void finish_body();
     void finish(call_outcome outcome, std::string message = {});
 
+    std::shared_ptr<int> calls_;
     http_call call_;
     http_client::done_function done_;
     http_client::before_send_function before_send_;
+    gobject_ptr<SoupSession> session_; ///< kept until the response has been read
     gobject_ptr<SoupMessage> message_;
     gobject_ptr<GCancellable> cancellable_;
     gobject_ptr<GInputStream> stream_;
