--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -1,5 +1,6 @@
 #include <dispatch/ownership_service.h>
 
+#include <algorithm>
 #include <dispatch/handover_codec.h>
 
 namespace chivewharf::dispatch {
@@ -28,11 +29,31 @@
 
 } // namespace
 
+ownership::ownership_options
+ownership_service::options_of(const settings::policy_settings& policy)
+{
+    ownership::ownership_options options;
+    options.lease = policy.lease;
+    options.renew_interval = policy.lease_renew;
+    options.renew_retry = std::min(options.renew_retry, policy.lease_renew / 5);
+    options.clock_drift = policy.clock_drift;
+    options.claim_margin = policy.claim_margin;
+    options.id_lifetime = policy.id_lifetime;
+    options.promise_hold = policy.promise;
+    options.promise_interval = policy.promise_renew;
+    // One renewal was missed; most of the lease remains to collect the promises.
+    options.promise_after = policy.lease_renew + (policy.lease - policy.lease_renew) / 6;
+    options.max_log_silence = policy.unreadable_log_limit;
+    options.new_seat_wait = policy.new_seat_wait;
+    return options;
+}
+
 ownership_service::ownership_service(identity self, const submission::id_issuer& issuer,
+                                     const ownership::ownership_options& options,
                                      time_point started, action_list& actions,
                                      metrics::registry& metrics)
     : self_{std::move(self)}, issuer_{issuer}, actions_{actions},
-      owner_{{self_.host, self_.incarnation}, started}, stream_{"ownership." + self_.domain},
+      owner_{{self_.host, self_.incarnation}, started, options}, stream_{"ownership." + self_.domain},
       claims_{metrics.counter("chivewharf_ownership_appends_total")},
       promise_requests_{metrics.counter("chivewharf_promise_requests_total")}
 {
--- a/modules/dispatch/ownership_service.h
+++ b/modules/dispatch/ownership_service.h
@@ -18,9 +18,14 @@
 /// ownership of their slot. Turns the decisions of `ownership::slot_owner` into actions.
 class ownership_service final : public id_authority, public start_guard {
 public:
-    ownership_service(identity self, const submission::id_issuer& issuer, time_point started,
+    /// \param options fixed for the life of the process, since all hosts of a domain must agree
+    ownership_service(identity self, const submission::id_issuer& issuer,
+                      const ownership::ownership_options& options, time_point started,
                       action_list& actions, metrics::registry& metrics);
 
+    /// Times of slot ownership from the settings.
+    static ownership::ownership_options options_of(const settings::policy_settings& policy);
+
     /// Takes the seats of the domain from the configuration in force.
     /// \param may_claim_from earliest claim of this seat, see `ownership::slot_owner::set_seats`
     void apply(const settings::cluster_settings& settings, time_point may_claim_from);
--- /dev/null
+++ b/testing/soak/cluster.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "relay.h"
+
+#include <base/time.h>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <runtime/http_client.h>
+#include <string>
+#include <vector>
+
+namespace chivewharf::soak {
+
+using nlohmann::json;
+
+inline constexpr int entry_count = 7;
+inline constexpr const char* domain_names[] = {"north", "east", "west"};
+inline constexpr int entry_domain[entry_count] = {0, 0, 0, 1, 1, 2, 2};
+inline constexpr const char* customer_names[] = {"plan", "poll"};
+inline constexpr const char* operator_token = "ops-token";
+
+/// Wall time and id lifetime of the run's settings, in milliseconds.
+inline constexpr wall_ms lease_ms = 3000;
+inline constexpr wall_ms id_lifetime_ms = 15000;
+inline constexpr wall_ms drain_notice_ms = 1000;
+
+struct child {
+    std::string name;
+    std::vector<std::string> command;
+    std::string log;
+    runtime::gobject_ptr<GSubprocess> process;
+    int starts = 0;
+    bool running = false;
+    bool paused = false;
+    bool stopping = false;       ///< SIGTERM was sent; the load balancer leaves it out
+    bool exit_expected = false;
+    std::function<void(int)> on_exit; ///< exit code, or minus the signal
+
+    long pid() const;
+};
+
+struct runner_info {
+    std::string name;
+    int domain;
+    int service; ///< index in customer_names' order: 0 plugdesk, 1 dialler-core
+    int process;
+    std::string address;
+};
+
+/// The processes of the soak and the settings that connect them through the relay.
+class cluster {
+public:
+    cluster(std::string bin, std::string folder);
+    ~cluster();
+    cluster(const cluster&) = delete;
+    cluster& operator=(const cluster&) = delete;
+
+    void start_standins();
+    void start_entries();
+    void start(child& one);
+    void send_signal(child& one, int number);
+
+    /// Next configuration version as a record for the log.
+    std::string next_record();
+    int version() const { return version_; }
+
+    std::string caller_url(int entry) const;
+    std::string platform_url() const;
+    std::string upstream_url(int process) const;
+    json host_list(const std::vector<std::string>& leaving) const;
+
+    std::vector<child>& entries() { return entries_; }
+    const std::vector<child>& upstreams() const { return upstreams_; }
+    const std::vector<runner_info>& runners() const { return runners_; }
+    relay& net() { return relay_; }
+    const std::vector<std::string>& unexpected_exits() const { return unexpected_; }
+    std::size_t process_count() const { return entries_.size() + upstreams_.size() + 2; }
+
+    /// Sum and greatest resident memory of the entry processes, in KiB.
+    std::pair<long, long> memory() const;
+
+    runtime::http_client& http() { return http_; }
+    /// Call with a JSON answer (discarded JSON if there was none).
+    void ask(const std::string& method, const std::string& url, std::string body,
+             std::function<void(json)> done, const std::string& token = {});
+
+private:
+    std::string ip(int host) const { return net_ + std::to_string(host); }
+    json base_settings() const;
+    json overlay(int entry) const;
+    void add_routes();
+    static void exited(GObject* process, GAsyncResult* result, gpointer data);
+
+    std::string bin_;
+    std::string folder_;
+    std::string net_;
+    std::vector<child> entries_;
+    std::vector<child> upstreams_;
+    child platform_;
+    std::vector<runner_info> runners_;
+    std::vector<std::string> unexpected_;
+    int version_ = 0;
+    relay relay_;
+    runtime::http_client http_;
+};
+
+} // namespace chivewharf::soak
--- /dev/null
+++ b/testing/soak/main.cpp
@@ -0,0 +1,361 @@
+// Soak of the whole path: entry hosts, runners and platform as processes on loopback addresses, a
+// relay between them, callers, and faults from a fixed seed. See README.md.
+
+#include "faults.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <glib/gstdio.h>
+#include <iostream>
+#include <runtime/main_loop.h>
+#include <testing/support/options.h>
+
+namespace chivewharf::soak {
+namespace {
+
+constexpr duration start_limit = seconds{60};
+constexpr duration settle_time = milliseconds{700};
+constexpr duration publish_interval = seconds{4};
+constexpr duration sample_interval = milliseconds{250};
+constexpr int slots_of_all_domains = 3 * 64;
+
+struct run_options {
+    std::uint64_t seed;
+    int rounds;    ///< rounds of all faults, one at a time
+    int pairs;     ///< pairs of faults after each round
+    int callers;
+    double scale;
+    std::string only; ///< inject only this fault
+    std::string falsified;
+};
+
+class soak {
+public:
+    soak(cluster& all, run_options options, runtime::main_loop& loop)
+        : all_{all}, options_{std::move(options)}, loop_{loop}, random_{options_.seed},
+          faults_{all, seen_, options_.seed + 1}, callers_{all, options_.seed + 2,
+                                                           options_.callers, options_.scale}
+    {
+        seen_.records = &callers_.records();
+    }
+
+    void start()
+    {
+        all_.start_standins();
+        plan();
+        began_ = boot_clock::now();
+        wait_for_platform();
+    }
+
+private:
+    void plan()
+    {
+        for (int round = 0; round < options_.rounds; ++round) {
+            auto names = faults_.names();
+            if (!options_.only.empty())
+                std::erase_if(names, [&](const auto& one) {
+                    return options_.only.find(one) == std::string::npos;
+                });
+            std::shuffle(names.begin(), names.end(), random_);
+            for (const auto& name : names)
+                steps_.push_back({name});
+            for (int pair = 0; pair < options_.pairs && names.size() > 1; ++pair) {
+                std::shuffle(names.begin(), names.end(), random_);
+                steps_.push_back({names[0], names[1]});
+            }
+        }
+    }
+
+    void after(duration delay, std::function<void()> call)
+    {
+        const auto timer = std::make_shared<runtime::timer>();
+        timer->once(delay, [timer, call = std::move(call)] { call(); });
+    }
+
+    void give_up(const std::string& why)
+    {
+        std::cerr << why << '\n';
+        for (const auto& one : all_.unexpected_exits())
+            std::cerr << one << '\n';
+        loop_.quit(2);
+    }
+
+    void wait_for_platform()
+    {
+        all_.ask("POST", all_.platform_url() + "/control",
+                 json{{"hosts", all_.host_list({})}}.dump(), [this](const json& answer) {
+                     if (answer.is_object()) {
+                         publish();
+                         all_.start_entries();
+                         wait_until_owned();
+                     }
+                     else if (boot_clock::now() - began_ < start_limit) {
+                         after(milliseconds{50}, [this] { wait_for_platform(); });
+                     }
+                     else {
+                         give_up("the platform stand-in did not start");
+                     }
+                 });
+    }
+
+    /// Asks every entry host for its status.
+    void survey(std::function<void(int ready, int slots)> done)
+    {
+        struct counts {
+            int left = entry_count;
+            int ready = 0;
+            int slots = 0;
+        };
+        const auto sum = std::make_shared<counts>();
+        for (int i = 0; i < entry_count; ++i) {
+            const auto asked = wall_now_ms();
+            all_.ask(
+                "GET", all_.caller_url(i) + "/v1/admin/status", "",
+                [this, i, asked, sum, done](const json& status) {
+                    if (status.is_object() && status.contains("version")) {
+                        const auto version = status["version"].get<std::int64_t>();
+                        seen_.versions.push_back({i, asked, version});
+                        sum->ready += version > 0 && !status["draining"].get<bool>() ? 1 : 0;
+                        sum->slots += status["owned_slots"].get<int>();
+                    }
+                    if (--sum->left == 0)
+                        done(sum->ready, sum->slots);
+                },
+                operator_token);
+        }
+    }
+
+    void wait_until_owned()
+    {
+        survey([this](int ready, int slots) {
+            if (ready == entry_count && slots == slots_of_all_domains) {
+                std::cout << "started processes=" << all_.process_count() << " after_ms="
+                          << to_ms(boot_clock::now() - began_) << std::endl;
+                callers_.start();
+                publish_timer_.every(publish_interval, [this] { publish(); });
+                sample_timer_.every(sample_interval, [this] { survey([](int, int) {}); });
+                memory_timer_.every(seconds{1}, [this] {
+                    const auto [sum, most] = all_.memory();
+                    memory_sum_ = std::max(memory_sum_, sum);
+                    memory_most_ = std::max(memory_most_, most);
+                });
+                after(seconds{3}, [this] { next_step(); });
+            }
+            else if (boot_clock::now() - began_ < start_limit) {
+                after(milliseconds{100}, [this] { wait_until_owned(); });
+            }
+            else {
+                give_up("not ready in time: hosts " + std::to_string(ready) + ", slots " +
+                        std::to_string(slots));
+            }
+        });
+    }
+
+    /// Appends the next version, or again the record whose answer was lost.
+    void publish()
+    {
+        if (publishing_)
+            return;
+        publishing_ = true;
+        if (record_.empty())
+            record_ = all_.next_record();
+        all_.ask("POST", all_.platform_url() + "/log/configuration", record_,
+                 [this](const json& answer) {
+                     publishing_ = false;
+                     if (!answer.is_object() || !answer.contains("offset"))
+                         return;
+                     seen_.publications.push_back({all_.version(), wall_now_ms()});
+                     record_.clear();
+                 });
+    }
+
+    void next_step()
+    {
+        if (step_ == steps_.size()) {
+            finish();
+            return;
+        }
+        const auto names = steps_[step_++];
+        active_ = names.size();
+        for (const auto& name : names)
+            faults_.inject(name, [this] {
+                if (--active_ == 0)
+                    recover(boot_clock::now());
+            });
+    }
+
+    void recover(time_point since)
+    {
+        survey([this, since](int ready, int) {
+            if (ready == entry_count) {
+                after(settle_time, [this] { next_step(); });
+                return;
+            }
+            if (boot_clock::now() - since > start_limit)
+                give_up("the entry hosts did not recover");
+            else
+                after(milliseconds{100}, [this, since] { recover(since); });
+        });
+    }
+
+    void finish()
+    {
+        publish_timer_.cancel();
+        callers_.finish([this] { check_last_version(boot_clock::now()); });
+    }
+
+    void check_last_version(time_point since)
+    {
+        survey([this, since](int, int) {
+            const auto wanted = seen_.publications.back().version;
+            std::set<int> current;
+            for (const auto& one : seen_.versions) {
+                if (one.version >= wanted)
+                    current.insert(one.entry);
+            }
+            if (current.size() == entry_count) {
+                read_counters(0);
+                return;
+            }
+            if (boot_clock::now() - since < seconds{10}) {
+                after(milliseconds{200}, [this, since] { check_last_version(since); });
+                return;
+            }
+            seen_.observed.push_back({8, "the last version is not in force everywhere",
+                                      wall_now_ms(), wall_now_ms()});
+            read_counters(0);
+        });
+    }
+
+    /// The daemons' own counters of broken promises.
+    void read_counters(int entry)
+    {
+        if (entry == entry_count) {
+            sample_timer_.cancel();
+            read_ledger(0);
+            return;
+        }
+        runtime::http_call call;
+        call.method = "GET";
+        call.url = all_.caller_url(entry) + "/metrics";
+        call.timeout = seconds{5};
+        call.headers = {{"Authorization", std::string{"Bearer "} + operator_token}};
+        all_.http().send(std::move(call), [this, entry](runtime::call_result result) {
+            std::istringstream lines{result.body};
+            for (std::string line; std::getline(lines, line);) {
+                const auto promise = line.find("promise_violations_total{promise=\"P");
+                if (promise == std::string::npos || line.ends_with(" 0"))
+                    continue;
+                const int number = line[line.find("\"P") + 2] - '0';
+                seen_.observed.push_back(
+                    {number, all_.entries()[entry].name + " counted: " + line, 0, wall_now_ms()});
+            }
+            read_counters(entry + 1);
+        });
+    }
+
+    void read_ledger(int process)
+    {
+        if (process == static_cast<int>(all_.upstreams().size())) {
+            report();
+            return;
+        }
+        all_.ask("GET", all_.upstream_url(process) + "/ledger", "",
+                 [this, process](const json& starts) {
+                     if (!starts.is_object()) {
+                         give_up("no ledger from an upstream process");
+                         return;
+                     }
+                     for (const auto& [task, one] : starts.items()) {
+                         auto& entry = seen_.ledger[task];
+                         entry.count += one[0].get<std::uint64_t>();
+                         const auto first = one[1].get<wall_ms>();
+                         entry.first = entry.first == 0 ? first : std::min(entry.first, first);
+                         entry.last = std::max(entry.last, one[2].get<wall_ms>());
+                     }
+                     read_ledger(process + 1);
+                 });
+    }
+
+    void report()
+    {
+        if (!options_.falsified.empty() && !falsify(options_.falsified, seen_)) {
+            give_up("unknown or impossible --break " + options_.falsified);
+            return;
+        }
+        const auto broken = check_promises(seen_);
+        std::cout << "\nseed " << options_.seed << '\n';
+        print_report(seen_, broken);
+        std::cout << "processes " << all_.process_count() << ", entry hosts' resident memory: "
+                  << memory_sum_ / 1024 << " MiB together, " << memory_most_ / 1024
+                  << " MiB at most\nrun time " << to_ms(boot_clock::now() - began_) / 1000
+                  << " s\n";
+        for (const auto& one : all_.unexpected_exits())
+            std::cout << "UNEXPECTED EXIT " << one << '\n';
+        const bool good = broken.empty() && all_.unexpected_exits().empty();
+        std::cout << (good ? "PASSED" : "FAILED") << std::endl;
+        loop_.quit(good ? 0 : 1);
+    }
+
+    cluster& all_;
+    run_options options_;
+    runtime::main_loop& loop_;
+    rng random_;
+    evidence seen_;
+    faults faults_;
+    callers callers_;
+    std::vector<std::vector<std::string>> steps_;
+    std::size_t step_ = 0;
+    std::size_t active_ = 0;
+    time_point began_;
+    std::string record_;
+    bool publishing_ = false;
+    long memory_sum_ = 0;
+    long memory_most_ = 0;
+    runtime::timer publish_timer_;
+    runtime::timer sample_timer_;
+    runtime::timer memory_timer_;
+};
+
+int run(int argc, char** argv)
+{
+    const auto options = testing_support::read_options(argc, argv,
+                                                       {{"form", "short"},
+                                                        {"seed", "20261204"},
+                                                        {"rounds", ""},
+                                                        {"only", ""},
+                                                        {"break", ""},
+                                                        {"keep", "0"},
+                                                        {"bin", "build/bin"}});
+    const bool is_long = options.at("form") == "long";
+    run_options wanted{std::stoull(options.at("seed")), is_long ? 4 : 1, is_long ? 8 : 2,
+                       is_long ? 60 : 40, is_long ? 0.5 : 0.25, options.at("only"),
+                       options.at("break")};
+    if (!options.at("rounds").empty())
+        wanted.rounds = std::stoi(options.at("rounds"));
+    const runtime::gfree_ptr<char> folder{g_dir_make_tmp("chivewharf-soak-XXXXXX", nullptr)};
+    std::cout << "folder " << folder.get() << " seed " << wanted.seed << std::endl;
+    int code = 0;
+    {
+        runtime::main_loop* loop_pointer = nullptr;
+        runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(2); }};
+        loop_pointer = &loop;
+        cluster all{options.at("bin"), folder.get()};
+        soak one{all, wanted, loop};
+        one.start();
+        code = loop.run();
+    }
+    if (code == 0 && options.at("keep") == "0")
+        std::filesystem::remove_all(folder.get());
+    else
+        std::cout << "logs are in " << folder.get() << std::endl;
+    return code;
+}
+
+} // namespace
+} // namespace chivewharf::soak
+
+int main(int argc, char** argv)
+{
+    return chivewharf::soak::run(argc, argv);
+}
--- a/testing/standin_upstream/main.cpp
+++ b/testing/standin_upstream/main.cpp
@@ -2,6 +2,7 @@
 //
 //   GET  /stats                        totals, tasks started twice, each runner
 //   GET  /starts                       starts of every task
+//   GET  /ledger                       count, first and last time of the starts of every task
 //   POST /mode?runner=NAME&mode=MODE   changes how a runner (or "all") treats tasks
 
 #include "runner.h"
@@ -44,6 +45,10 @@
         exchange.respond(json_response(200, all.ledger.all()));
         return;
     }
+    if (request.path == "/ledger") {
+        exchange.respond(json_response(200, all.ledger.times()));
+        return;
+    }
     const auto name = request.query.find("runner");
     const auto mode = request.query.find("mode");
     if (request.path == "/mode" && name != request.query.end() && mode != request.query.end()) {
--- a/testing/standin_upstream/runner.cpp
+++ b/testing/standin_upstream/runner.cpp
@@ -29,7 +29,8 @@
             {"refusals", refusals_},
             {"running", running_},
             {"most_running", most_running_},
-            {"last_start_ms", last_start_}};
+            {"last_start_ms", last_start_},
+            {"announced_ms", announced_}};
 }
 
 void runner::handle(const std::shared_ptr<http_exchange>& exchange)
@@ -68,8 +69,11 @@
 void runner::answer(http_exchange& exchange, unsigned status, const json& body)
 {
     auto response = json_response(status, body);
-    if (mode_ == runner_mode::leaving)
+    if (mode_ == runner_mode::leaving) {
+        if (announced_ == 0)
+            announced_ = wall_now_ms();
         response.headers.push_back({"Chivewharf-Leaving", "1"});
+    }
     exchange.respond(std::move(response));
 }
 
@@ -79,7 +83,7 @@
     last_start_ = wall_now_ms();
     const std::string task{exchange->header("Chivewharf-Task").value_or("")};
     if (count_starts_)
-        ledger_.started(task);
+        ledger_.started(task, last_start_);
     if (mode_ == runner_mode::fail) {
         answer(*exchange, 500, {{"error", "runner fails every task"}});
         return;
--- a/testing/standin_upstream/runner.h
+++ b/testing/standin_upstream/runner.h
@@ -26,7 +26,11 @@
     /// \return the port
     std::uint16_t listen(const std::string& address) { return listen_or_exit(*server_, address); }
 
-    void set_mode(runner_mode mode) { mode_ = mode; }
+    void set_mode(runner_mode mode)
+    {
+        mode_ = mode;
+        announced_ = 0;
+    }
     const std::string& name() const { return name_; }
     nlohmann::json stats() const;
 
@@ -50,6 +54,7 @@
     std::uint64_t starts_ = 0;
     std::uint64_t refusals_ = 0;
     wall_ms last_start_ = 0;
+    wall_ms announced_ = 0; ///< first answer that announced that the runner is leaving
 };
 
 } // namespace chivewharf::testing_support
--- a/testing/standin_upstream/start_ledger.h
+++ b/testing/standin_upstream/start_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/time.h>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -10,7 +11,8 @@
 /// Counts the starts of every task over all runners of the process.
 class start_ledger {
 public:
-    void started(const std::string& task) { ++starts_[task]; }
+    /// \param now wall time
+    void started(const std::string& task, wall_ms now);
 
     std::uint64_t starts_of(const std::string& task) const;
 
@@ -18,10 +20,19 @@
     nlohmann::json summary() const;
 
     /// Starts of every task by its name.
-    nlohmann::json all() const { return starts_; }
+    nlohmann::json all() const;
+
+    /// Count, first and last time of the starts of every task: `{task: [count, ms, ms]}`.
+    nlohmann::json times() const;
 
 private:
-    std::unordered_map<std::string, std::uint64_t> starts_;
+    struct entry {
+        std::uint64_t count = 0;
+        wall_ms first = 0;
+        wall_ms last = 0;
+    };
+
+    std::unordered_map<std::string, entry> starts_;
 };
 
 } // namespace chivewharf::testing_support
