Fix four faults of forwarded and forgotten submissions that the soak found

Cause: the soak saw a job of a caller's id start twice, 20 s apart (P1). A forward went into a silent link; the link that replaced it did not carry the request again, because peer_up was reported only without an older link. A later link repeated it after the owner had forgotten the id, as each new link prolonged its wait. Ruled out: two owners (the ownership records show one) and a resubmission by the caller (its last request was 11 s before). A fetch of a forgotten caller's id was refused as not run although it had run (P4). The connect timeout of 1 s stayed on the peer links and ended them before the link monitor's 1.5 s.

--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -161,6 +161,9 @@
         to.waiting.clear();
         return;
     }
+    // The client's timeout stays on the socket and would end a link that is silent for 1 s, which
+    // is the link monitor's decision.
+    g_socket_set_timeout(g_socket_connection_get_socket(connection.get()), 0);
     gateway->open_link(std::move(connection), wire::link_side::connecting, request->host);
 }
 
@@ -193,8 +196,8 @@
     log_line{"peer_link_up"}.add("host", host).write();
     for (const auto& message : std::exchange(to.waiting, {}))
         link->send(message);
-    if (!old)
-        loop_.event([&host](auto& core, const auto& at) { core.peer_up(host, at); });
+    // Also when the link replaces another: the requests that went into the old one may be lost.
+    loop_.event([&host](auto& core, const auto& at) { core.peer_up(host, at); });
 }
 
 void peer_gateway::link_closed(const link_ptr& link, const std::string& expected_host,
--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -50,8 +50,10 @@
                        std::shared_ptr<const settings::cluster_settings> settings,
                        metrics::registry& metrics, std::uint64_t seed, time_point now)
     : self_{std::move(self)}, settings_{std::move(settings)}, metrics_{metrics}, random_{seed},
-      issuer_{make_issuer(self_, settings_->policy.id_lifetime)},
-      table_{table_options_of(*settings_)}, ownership_{self_, issuer_, ownership_service::options_of(settings_->policy), now, actions_, metrics},
+      issuer_{make_issuer(self_, settings_->policy.id_lifetime)}, table_{table_options_of(
+                                                                      *settings_)},
+      ownership_{self_, issuer_,  ownership_service::options_of(settings_->policy),
+                 now,   actions_, metrics},
       relay_{std::make_unique<reply_relay>()}, service_{table_, ownership_, *relay_, metrics},
       dispatcher_{table_, ownership_, service_, metrics, actions_, random_, self_},
       peers_{self_, std::move(peer_address), dispatcher_, actions_, metrics, random_, now},
@@ -177,7 +179,7 @@
 
 void entry_host::peer_up(const std::string& host, clock_reading now)
 {
-    router_.peer_up(host);
+    router_.peer_up(host, now.boot);
     after_event(now);
 }
 
--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -29,8 +29,7 @@
 
 } // namespace
 
-ownership::ownership_options
-ownership_service::options_of(const settings::policy_settings& policy)
+ownership::ownership_options ownership_service::options_of(const settings::policy_settings& policy)
 {
     ownership::ownership_options options;
     options.lease = policy.lease;
@@ -53,7 +52,8 @@
                                      time_point started, action_list& actions,
                                      metrics::registry& metrics)
     : self_{std::move(self)}, issuer_{issuer}, actions_{actions},
-      owner_{{self_.host, self_.incarnation}, started, options}, stream_{"ownership." + self_.domain},
+      owner_{{self_.host, self_.incarnation}, started, options}, stream_{"ownership." +
+                                                                         self_.domain},
       claims_{metrics.counter("chivewharf_ownership_appends_total")},
       promise_requests_{metrics.counter("chivewharf_promise_requests_total")}
 {
--- a/modules/dispatch/request_router.cpp
+++ b/modules/dispatch/request_router.cpp
@@ -138,6 +138,7 @@
     }
     const auto wait = asked.wait.value_or(longest_forward);
     const bool linked = links_up_.contains(pending.host);
+    pending.asked_at = now;
     pending.expires = now + (linked ? wait + forward_margin : connect_patience);
     pending.message = {number,
                        std::move(asked.customer),
@@ -222,17 +223,21 @@
     actions_.add(send_peer{host, pending.message});
 }
 
-void request_router::peer_up(const std::string& host)
+void request_router::peer_up(const std::string& host, time_point now)
 {
     links_up_.insert(host);
+    const auto repeat_limit = settings_->policy.id_lifetime / 2;
     for (auto& [number, pending] : pending_) {
         if (pending.host != host)
             continue;
+        const bool submits = pending.message.operation == wire::operation::submit;
+        if (submits && now - pending.asked_at > repeat_limit)
+            continue;
         expiries_.erase({pending.expires, number});
         const duration wait = pending.message.wait_ms == wire::no_wait
                                   ? longest_forward
                                   : duration{milliseconds{pending.message.wait_ms}};
-        pending.expires += wait + forward_margin;
+        pending.expires = std::max(pending.expires, pending.asked_at + wait + forward_margin);
         expiries_.emplace(pending.expires, number);
         ++repeats_;
         actions_.add(send_peer{host, pending.message});
--- a/modules/dispatch/request_router.h
+++ b/modules/dispatch/request_router.h
@@ -51,8 +51,9 @@
     void on_answer(const std::string& from, wire::forward_answer answer, time_point now);
 
     /// A link to the host is ready: requests that wait for its answer are asked again, which is
-    /// safe because the owner recognises the id.
-    void peer_up(const std::string& host);
+    /// safe while the owner recognises the id. A submission is not asked again after half of the id
+    /// lifetime, because the owner may have forgotten the id and would start it a second time.
+    void peer_up(const std::string& host, time_point now);
 
     /// The link to the host ended.
     void peer_down(const std::string& host);
@@ -88,6 +89,7 @@
         std::string home_domain; ///< of a caller's id, otherwise empty
         unsigned slot = 0;
         wire::forward message;
+        time_point asked_at;
         time_point expires;
         bool redirected = false;
     };
--- a/modules/dispatch/submission_service.cpp
+++ b/modules/dispatch/submission_service.cpp
@@ -152,9 +152,12 @@
     const auto verdict = authority_.judge(call.id, call.customer, now);
     if (!verdict.may_start)
         refuse(call, verdict.refusal.why, verdict.refusal.work, {});
-    else
-        refuse(call, reason::unknown_submission, work_state::not_run,
-               "no submission with this id was received");
+    else {
+        // An issued id that is valid and unknown was never received. A caller's id does not show
+        // its age: its submission may have run and been forgotten after the id lifetime.
+        const auto work = call.id.issued() ? work_state::not_run : work_state::may_have_run;
+        refuse(call, reason::unknown_submission, work, "no submission with this id is held");
+    }
 }
 
 void submission_service::cancel(const submission_call& call, time_point now)
--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -15,9 +15,9 @@
 constexpr duration request_timeout = seconds{9};
 constexpr int deadline_ms = 5000;
 
-const std::set<std::string> final_refusals{"owner_gone",   "id_expired",       "id_body_mismatch",
-                                           "id_not_issued", "malformed_request", "invalid_id",
-                                           "too_many_tasks", "unknown_service"};
+const std::set<std::string> final_refusals{
+    "owner_gone",        "id_expired", "id_body_mismatch", "id_not_issued",
+    "malformed_request", "invalid_id", "too_many_tasks",   "unknown_service"};
 
 } // namespace
 
@@ -82,8 +82,8 @@
     json tasks = json::array();
     for (std::size_t i = 0; i < record.tasks; ++i) {
         const bool is_long = below(60) == 0;
-        const double run_ms = scale_ * static_cast<double>(is_long ? 2000 + below(4000)
-                                                                   : 50 + below(950));
+        const double run_ms =
+            scale_ * static_cast<double>(is_long ? 2000 + below(4000) : 50 + below(950));
         // Declared run times are off by up to ten times in either direction.
         const double error[] = {0.1, 0.5, 1, 1, 2, 10};
         const auto declared = std::clamp(run_ms * error[below(6)], 1.0, deadline_ms / 2.0);
@@ -121,8 +121,8 @@
     auto& host = all_.entries()[entry];
     runtime::http_call call;
     const auto url = all_.caller_url(entry) + "/v1/submissions";
-    call.headers = {{"Authorization",
-                     "Bearer " + std::string{customer_names[record.customer]} + "-token"}};
+    call.headers = {
+        {"Authorization", "Bearer " + std::string{customer_names[record.customer]} + "-token"}};
     if (operation == "submit") {
         call.url = url;
         call.headers.push_back({"Idempotency-Key", record.id});
@@ -213,8 +213,8 @@
 {
     if (open_ > 0 || waiting_ > 0)
         return;
-    const bool missing = std::any_of(records_.begin(), records_.end(),
-                                     [](const auto& one) { return !one.settled; });
+    const bool missing =
+        std::any_of(records_.begin(), records_.end(), [](const auto& one) { return !one.settled; });
     if (missing && rounds_++ < final_rounds) {
         final_round_ = true;
         sweep();
--- a/testing/soak/callers.h
+++ b/testing/soak/callers.h
@@ -40,8 +40,8 @@
     bool idempotent_single() const { return customer == 1 && tasks == 1; }
 };
 
-/// Callers of both organisations. Each has one submission at a time, which it resubmits to any entry
-/// host when the answer is lost, and sometimes submits twice, fetches or cancels.
+/// Callers of both organisations. Each has one submission at a time, which it resubmits to any
+/// entry host when the answer is lost, and sometimes submits twice, fetches or cancels.
 class callers {
 public:
     callers(cluster& all, std::uint64_t seed, int count, double scale);
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -35,9 +35,15 @@
 private:
     void add(int promise, const submission_record& record, const std::string& text)
     {
-        const auto until = record.replies.empty() ? record.first_sent
-                                                  : record.replies.back().received;
-        broken_.push_back({promise, record.id + ": " + text, record.first_sent, until});
+        const auto until =
+            record.replies.empty() ? record.first_sent : record.replies.back().received;
+        std::string history;
+        for (const auto& one : record.replies)
+            history +=
+                " | " + one.operation + " entry-" + std::to_string(one.entry + 1) + ' ' +
+                std::to_string(one.sent) + '-' + std::to_string(one.received) + ' ' +
+                (one.answered() ? one.outcome() + ' ' + one.why() : std::string{to_name(one.how)});
+        broken_.push_back({promise, record.id + ": " + text + history, record.first_sent, until});
     }
 
     const task_starts* starts(const submission_record& record, std::size_t index) const
@@ -59,7 +65,7 @@
             if (found == nullptr || found->count <= 1)
                 continue;
             const auto text = "task " + std::to_string(i) + " started " +
-                              std::to_string(found->count) + " times";
+                              std::to_string(found->count) + " times: " + found->where;
             if (!record.idempotent_single())
                 add(record.customer == 0 ? 5 : 1, record, text);
             else if (!fault_in(found->first - loss_shows_within, found->last))
@@ -90,21 +96,23 @@
             if (first == nullptr)
                 first = &one.body;
             else if (*first != one.body)
-                add(3, record, "two different answers: " + first->dump() + " and " +
-                                   one.body.dump());
+                add(3, record,
+                    "two different answers: " + first->dump() + " and " + one.body.dump());
         }
         if (!record.settled)
-            add(3, record, "no final answer; last: " +
-                               (record.replies.empty() ? std::string{"none"}
-                                                       : record.replies.back().body.dump()));
+            add(3, record,
+                "no final answer; last: " + (record.replies.empty()
+                                                 ? std::string{"none"}
+                                                 : record.replies.back().body.dump()));
     }
 
     void check_complete(const submission_record& record, const reply& one)
     {
         const auto& tasks = one.body.contains("tasks") ? one.body["tasks"] : json::array();
         if (tasks.size() != record.tasks)
-            add(2, record, "complete with " + std::to_string(tasks.size()) + " of " +
-                               std::to_string(record.tasks) + " tasks");
+            add(2, record,
+                "complete with " + std::to_string(tasks.size()) + " of " +
+                    std::to_string(record.tasks) + " tasks");
         for (std::size_t i = 0; i < tasks.size(); ++i) {
             const auto wanted = record.id + '/' + std::to_string(i);
             if (tasks[i].value("/payload/task"_json_pointer, "") != wanted)
@@ -147,8 +155,9 @@
         for (const auto& one : record.replies) {
             const bool not_run = one.outcome() == "refused" && one.work() == "not_run";
             if (not_run && one.sent > first)
-                add(4, record, one.why() + " not run, but a task had started " +
-                                   std::to_string(one.sent - first) + " ms before");
+                add(4, record,
+                    one.why() + " not run, but a task had started " +
+                        std::to_string(one.sent - first) + " ms before");
             if (not_run && one.operation == "submit")
                 false_claim = &one;
             else if (one.operation == "submit")
@@ -162,9 +171,10 @@
     {
         for (const auto& one : seen_.leaving) {
             if (one.last_start - one.announced > leaving_limit_ms)
-                broken_.push_back({6, one.name + " received work " +
-                                          std::to_string(one.last_start - one.announced) +
-                                          " ms after the announcement",
+                broken_.push_back({6,
+                                   one.name + " received work " +
+                                       std::to_string(one.last_start - one.announced) +
+                                       " ms after the announcement",
                                    one.announced, one.last_start});
         }
     }
@@ -181,9 +191,9 @@
                     if (one.entry == stop.entry && one.incarnation == stop.incarnation &&
                         (one.how == runtime::call_outcome::lost ||
                          one.how == runtime::call_outcome::truncated))
-                        add(7, record, "cut by the planned stop of " + name + ", sent " +
-                                           std::to_string(stop.ended - one.sent) +
-                                           " ms before its end");
+                        add(7, record,
+                            "cut by the planned stop of " + name + ", sent " +
+                                std::to_string(stop.ended - one.sent) + " ms before its end");
                 }
             }
         }
@@ -195,9 +205,10 @@
         for (const auto& one : seen_.versions) {
             // A host that has just started has no version until it has read one.
             if (one.version > 0 && one.version < last[one.entry])
-                broken_.push_back({8, "entry-" + std::to_string(one.entry + 1) + " went from " +
-                                          std::to_string(last[one.entry]) + " to " +
-                                          std::to_string(one.version),
+                broken_.push_back({8,
+                                   "entry-" + std::to_string(one.entry + 1) + " went from " +
+                                       std::to_string(last[one.entry]) + " to " +
+                                       std::to_string(one.version),
                                    one.asked, one.asked});
             if (one.version > 0)
                 last[one.entry] = one.version;
@@ -221,9 +232,10 @@
                 late.insert(one.entry);
         }
         for (const int entry : late)
-            broken_.push_back({8, "version " + std::to_string(published.version) +
-                                      " was not in force at entry-" + std::to_string(entry + 1) +
-                                      " after 2 s",
+            broken_.push_back({8,
+                               "version " + std::to_string(published.version) +
+                                   " was not in force at entry-" + std::to_string(entry + 1) +
+                                   " after 2 s",
                                published.accepted, limit});
     }
 
@@ -234,8 +246,9 @@
 submission_record* find_complete(evidence& seen, std::size_t tasks, std::size_t answers)
 {
     for (auto& record : *seen.records) {
-        const auto complete = std::count_if(record.replies.begin(), record.replies.end(),
-                                            [](const auto& r) { return r.outcome() == "complete"; });
+        const auto complete =
+            std::count_if(record.replies.begin(), record.replies.end(),
+                          [](const auto& r) { return r.outcome() == "complete"; });
         if (record.tasks >= tasks && static_cast<std::size_t>(complete) >= answers)
             return &record;
     }
@@ -288,19 +301,29 @@
          }},
         {"false_counts",
          [&] {
-             body = {{"id", job->id}, {"outcome", "failed"}, {"work", "not_run"},
+             body = {{"id", job->id},
+                     {"outcome", "failed"},
+                     {"work", "not_run"},
                      {"work_counts", {{"not_run", job->tasks}}}};
          }},
         {"late_leaving",
-         [&] { seen.leaving.push_back({"falsified", 1000, 1001 + leaving_limit_ms}); }},
-        {"bad_exit", [&] { seen.stops.push_back({0, 0, 1000, 2000, 1}); }},
+         [&] {
+             seen.leaving.push_back({"falsified", 1000, 1001 + leaving_limit_ms});
+         }},
+        {"bad_exit",
+         [&] {
+             seen.stops.push_back({0, 0, 1000, 2000, 1});
+         }},
         {"cut_stop",
          [&] {
              auto& one = complete_reply(*job);
              one.how = runtime::call_outcome::lost;
              seen.stops.push_back({one.entry, one.incarnation, one.sent, one.received, 0});
          }},
-        {"version_back", [&] { seen.versions.push_back({0, wall_now_ms(), 1}); }},
+        {"version_back",
+         [&] {
+             seen.versions.push_back({0, wall_now_ms(), 1});
+         }},
         {"version_late",
          [&] {
              seen.windows.clear();
@@ -339,10 +362,10 @@
         int counts[9] = {};
         int touched = 0;
         for (const auto& record : *seen.records)
-            touched += !record.replies.empty() &&
-                               during(record.first_sent, record.replies.back().received)
-                           ? 1
-                           : 0;
+            touched +=
+                !record.replies.empty() && during(record.first_sent, record.replies.back().received)
+                    ? 1
+                    : 0;
         for (const auto& one : broken)
             counts[one.promise] += during(one.from, one.to) ? 1 : 0;
         std::printf("%-16s %5d %12d ", fault.c_str(), times, touched);
@@ -361,8 +384,11 @@
             const bool final_answer = outcome == "complete" || outcome == "failed";
             if (final_answer || outcome == "refused")
                 text = outcome + ' ' + one.why() + (final_answer ? "" : ' ' + one.work());
-            if (final_answer)
+            if (final_answer) {
+                if (outcome == "failed")
+                    text += " (" + one.body.value("message", "") + ')';
                 break;
+            }
         }
         ++outcomes[text];
     }
@@ -377,14 +403,13 @@
     }
     std::printf("task starts %zu, tasks started more than once %zu, planned stops %zu, leaving "
                 "workers %zu, publications %zu\n",
-                starts, repeated, seen.stops.size(), seen.leaving.size(),
-                seen.publications.size());
+                starts, repeated, seen.stops.size(), seen.leaving.size(), seen.publications.size());
     std::size_t shown = 0;
     for (const auto& one : broken) {
         if (++shown > 25)
             break;
-        std::printf("BROKEN P%d at %lld: %.400s\n", one.promise,
-                    static_cast<long long>(one.from), one.text.c_str());
+        std::printf("BROKEN P%d at %lld: %.1200s\n", one.promise, static_cast<long long>(one.from),
+                    one.text.c_str());
     }
     if (broken.size() > 25)
         std::printf("... and %zu more\n", broken.size() - 25);
--- a/testing/soak/checks.h
+++ b/testing/soak/checks.h
@@ -28,6 +28,7 @@
     std::uint64_t count = 0;
     wall_ms first = 0;
     wall_ms last = 0;
+    std::string where; ///< runner, attempt and time of each
 };
 
 /// Configuration version that an entry host reported.
--- a/testing/soak/cluster.cpp
+++ b/testing/soak/cluster.cpp
@@ -66,10 +66,19 @@
         const auto address = ip(first_upstream_ip + process);
         child one;
         one.name = prefix + "runners";
-        one.command = {bin_ + "/standin_upstream", "--address", address, "--first-port",
-                       std::to_string(first_runner_port), "--count",
-                       std::to_string(runner_counts[process]), "--names", prefix, "--speeds",
-                       "1,2,3,4", "--control", at(address, control_port)};
+        one.command = {bin_ + "/standin_upstream",
+                       "--address",
+                       address,
+                       "--first-port",
+                       std::to_string(first_runner_port),
+                       "--count",
+                       std::to_string(runner_counts[process]),
+                       "--names",
+                       prefix,
+                       "--speeds",
+                       "1,2,3,4",
+                       "--control",
+                       at(address, control_port)};
         upstreams_.push_back(std::move(one));
         for (int i = 0; i < runner_counts[process]; ++i)
             runners_.push_back({prefix + std::to_string(i + 1), process / 2, process % 2, process,
@@ -79,21 +88,20 @@
     std::ofstream{folder_ + "/base.json"} << base_settings().dump(1);
     for (int i = 0; i < entry_count; ++i) {
         const auto stem = folder_ + '/' + entry_name(i);
-        const json host{
-            {"site", "site-" + std::to_string(i + 1)},
-            {"host",
-             {{"name", entry_name(i)},
-              {"domain", domain_names[entry_domain[i]]},
-              {"caller_address", at(ip(i + 1), caller_port)},
-              {"peer_address", at(ip(i + 1), peer_port)},
-              {"peer_key", "soak-peer-key-0123456789"},
-              {"log_directory", folder_},
-              {"drain_notice_ms", drain_notice_ms}}}};
+        const json host{{"site", "site-" + std::to_string(i + 1)},
+                        {"host",
+                         {{"name", entry_name(i)},
+                          {"domain", domain_names[entry_domain[i]]},
+                          {"caller_address", at(ip(i + 1), caller_port)},
+                          {"peer_address", at(ip(i + 1), peer_port)},
+                          {"peer_key", "soak-peer-key-0123456789"},
+                          {"log_directory", folder_},
+                          {"drain_notice_ms", drain_notice_ms}}}};
         std::ofstream{stem + ".host.json"} << host.dump(1);
         std::ofstream{stem + ".overlay.json"} << overlay(i).dump(1);
         child one;
         one.name = entry_name(i);
-        one.command = {bin_ + "/chivewharfd", "--host", stem + ".host.json", "--settings",
+        one.command = {bin_ + "/chivewharfd",  "--host",    stem + ".host.json",   "--settings",
                        folder_ + "/base.json", "--overlay", stem + ".overlay.json"};
         entries_.push_back(std::move(one));
     }
@@ -130,31 +138,32 @@
 
 json cluster::base_settings() const
 {
-    json base{
-        {"key_domains", domain_names},
-        {"callers", {{"max_connections", 2000}}},
-        {"policy",
-         {{"id_lifetime_ms", id_lifetime_ms},
-          {"answer_keep_ms", id_lifetime_ms * 2 / 3},
-          {"lease_ms", lease_ms},
-          {"lease_renew_ms", lease_ms / 3},
-          {"claim_margin_ms", 200},
-          {"promise_ms", 1500},
-          {"promise_renew_ms", 500},
-          {"unreadable_log_limit_ms", 60000},
-          {"new_seat_wait_ms", 90000},
-          {"eject_first_ms", 1000},
-          {"eject_longest_ms", 4000}}},
-        {"services",
-         {{{"name", "plugdesk"}, {"idempotent", false}, {"max_deadline_ms", 6000}},
-          {{"name", "dialler-core"}, {"idempotent", true}, {"max_deadline_ms", 6000}}}},
-        {"operators", {{{"name", "ops"}, {"token_sha256", digest(operator_token)}}}}};
+    json base{{"key_domains", domain_names},
+              {"callers", {{"max_connections", 2000}}},
+              {"policy",
+               {{"id_lifetime_ms", id_lifetime_ms},
+                {"answer_keep_ms", id_lifetime_ms * 2 / 3},
+                {"lease_ms", lease_ms},
+                {"lease_renew_ms", lease_ms / 3},
+                {"claim_margin_ms", 200},
+                {"promise_ms", 1500},
+                {"promise_renew_ms", 500},
+                {"unreadable_log_limit_ms", 60000},
+                {"new_seat_wait_ms", 90000},
+                {"eject_first_ms", 1000},
+                {"eject_longest_ms", 4000}}},
+              {"services",
+               {{{"name", "plugdesk"}, {"idempotent", false}, {"max_deadline_ms", 6000}},
+                {{"name", "dialler-core"}, {"idempotent", true}, {"max_deadline_ms", 6000}}}},
+              {"operators", {{{"name", "ops"}, {"token_sha256", digest(operator_token)}}}}};
     for (const auto* name : domain_names)
         base["domains"].push_back({{"name", name}, {"region", "soak"}});
     for (const auto* name : customer_names)
-        base["customers"].push_back(
-            {{"name", name}, {"token_sha256", digest(std::string{name} + "-token")},
-             {"weight", 1 + version_ % 5}, {"rate", 100000}, {"burst", 100000}});
+        base["customers"].push_back({{"name", name},
+                                     {"token_sha256", digest(std::string{name} + "-token")},
+                                     {"weight", 1 + version_ % 5},
+                                     {"rate", 100000},
+                                     {"burst", 100000}});
     return base;
 }
 
--- a/testing/soak/cluster.h
+++ b/testing/soak/cluster.h
@@ -33,7 +33,7 @@
     int starts = 0;
     bool running = false;
     bool paused = false;
-    bool stopping = false;       ///< SIGTERM was sent; the load balancer leaves it out
+    bool stopping = false; ///< SIGTERM was sent; the load balancer leaves it out
     bool exit_expected = false;
     std::function<void(int)> on_exit; ///< exit code, or minus the signal
 
--- a/testing/soak/faults.cpp
+++ b/testing/soak/faults.cpp
@@ -181,8 +181,8 @@
     }
     const int entry = of->entries.front();
     auto& one = all_.entries()[entry];
-    seen_.observed.push_back({7, one.name + " did not stop within 30 s, log " + one.log,
-                              of->since, wall_now_ms()});
+    seen_.observed.push_back(
+        {7, one.name + " did not stop within 30 s, log " + one.log, of->since, wall_now_ms()});
     all_.send_signal(one, SIGKILL);
 }
 
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <glib/gstdio.h>
 #include <iostream>
 #include <runtime/main_loop.h>
@@ -21,20 +22,21 @@
 
 struct run_options {
     std::uint64_t seed;
-    int rounds;    ///< rounds of all faults, one at a time
-    int pairs;     ///< pairs of faults after each round
+    int rounds; ///< rounds of all faults, one at a time
+    int pairs;  ///< pairs of faults after each round
     int callers;
     double scale;
     std::string only; ///< inject only this fault
     std::string falsified;
+    std::string folder;
 };
 
 class soak {
 public:
     soak(cluster& all, run_options options, runtime::main_loop& loop)
         : all_{all}, options_{std::move(options)}, loop_{loop}, random_{options_.seed},
-          faults_{all, seen_, options_.seed + 1}, callers_{all, options_.seed + 2,
-                                                           options_.callers, options_.scale}
+          faults_{all, seen_, options_.seed + 1}, callers_{all, options_.seed + 2, options_.callers,
+                                                           options_.scale}
     {
         seen_.records = &callers_.records();
     }
@@ -129,8 +131,8 @@
     {
         survey([this](int ready, int slots) {
             if (ready == entry_count && slots == slots_of_all_domains) {
-                std::cout << "started processes=" << all_.process_count() << " after_ms="
-                          << to_ms(boot_clock::now() - began_) << std::endl;
+                std::cout << "started processes=" << all_.process_count()
+                          << " after_ms=" << to_ms(boot_clock::now() - began_) << std::endl;
                 callers_.start();
                 publish_timer_.every(publish_interval, [this] { publish(); });
                 sample_timer_.every(sample_interval, [this] { survey([](int, int) {}); });
@@ -221,8 +223,8 @@
                 after(milliseconds{200}, [this, since] { check_last_version(since); });
                 return;
             }
-            seen_.observed.push_back({8, "the last version is not in force everywhere",
-                                      wall_now_ms(), wall_now_ms()});
+            seen_.observed.push_back(
+                {8, "the last version is not in force everywhere", wall_now_ms(), wall_now_ms()});
             read_counters(0);
         });
     }
@@ -257,7 +259,7 @@
     void read_ledger(int process)
     {
         if (process == static_cast<int>(all_.upstreams().size())) {
-            report();
+            save_ownership(0);
             return;
         }
         all_.ask("GET", all_.upstream_url(process) + "/ledger", "",
@@ -272,11 +274,29 @@
                          const auto first = one[1].get<wall_ms>();
                          entry.first = entry.first == 0 ? first : std::min(entry.first, first);
                          entry.last = std::max(entry.last, one[2].get<wall_ms>());
+                         entry.where += one[3].get<std::string>();
                      }
                      read_ledger(process + 1);
                  });
     }
 
+    /// Keeps the ownership records with the logs, to trace a second start.
+    void save_ownership(int domain)
+    {
+        if (domain == 3) {
+            report();
+            return;
+        }
+        const auto stream = std::string{"ownership."} + domain_names[domain];
+        all_.ask("GET", all_.platform_url() + "/log/" + stream + "?from=0&limit=100000", "",
+                 [this, domain, stream](const json& log) {
+                     std::ofstream out{options_.folder + '/' + stream};
+                     for (const auto& one : log.value("records", json::array()))
+                         out << one["time_ms"] << ' ' << one["data"].get<std::string>() << '\n';
+                     save_ownership(domain + 1);
+                 });
+    }
+
     void report()
     {
         if (!options_.falsified.empty() && !falsify(options_.falsified, seen_)) {
@@ -286,10 +306,10 @@
         const auto broken = check_promises(seen_);
         std::cout << "\nseed " << options_.seed << '\n';
         print_report(seen_, broken);
-        std::cout << "processes " << all_.process_count() << ", entry hosts' resident memory: "
-                  << memory_sum_ / 1024 << " MiB together, " << memory_most_ / 1024
-                  << " MiB at most\nrun time " << to_ms(boot_clock::now() - began_) / 1000
-                  << " s\n";
+        std::cout << "processes " << all_.process_count()
+                  << ", entry hosts' resident memory: " << memory_sum_ / 1024 << " MiB together, "
+                  << memory_most_ / 1024 << " MiB at most\nrun time "
+                  << to_ms(boot_clock::now() - began_) / 1000 << " s\n";
         for (const auto& one : all_.unexpected_exits())
             std::cout << "UNEXPECTED EXIT " << one << '\n';
         const bool good = broken.empty() && all_.unexpected_exits().empty();
@@ -328,12 +348,18 @@
                                                         {"keep", "0"},
                                                         {"bin", "build/bin"}});
     const bool is_long = options.at("form") == "long";
-    run_options wanted{std::stoull(options.at("seed")), is_long ? 4 : 1, is_long ? 8 : 2,
-                       is_long ? 60 : 40, is_long ? 0.5 : 0.25, options.at("only"),
-                       options.at("break")};
+    run_options wanted{std::stoull(options.at("seed")),
+                       is_long ? 4 : 1,
+                       is_long ? 8 : 2,
+                       is_long ? 60 : 40,
+                       is_long ? 0.5 : 0.25,
+                       options.at("only"),
+                       options.at("break"),
+                       {}};
     if (!options.at("rounds").empty())
         wanted.rounds = std::stoi(options.at("rounds"));
     const runtime::gfree_ptr<char> folder{g_dir_make_tmp("chivewharf-soak-XXXXXX", nullptr)};
+    wanted.folder = folder.get();
     std::cout << "folder " << folder.get() << " seed " << wanted.seed << std::endl;
     int code = 0;
     {
--- a/testing/soak/relay.cpp
+++ b/testing/soak/relay.cpp
@@ -204,8 +204,8 @@
             g_socket_set_blocking(socket, FALSE);
             g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
         }
-        auto& made = *pipes.emplace_back(
-            std::make_unique<pipe>(std::move(caller), std::move(onward)));
+        auto& made =
+            *pipes.emplace_back(std::make_unique<pipe>(std::move(caller), std::move(onward)));
         made.muted = mutes > 0;
         made.resume();
     }
--- a/testing/standin_upstream/runner.cpp
+++ b/testing/standin_upstream/runner.cpp
@@ -83,7 +83,9 @@
     last_start_ = wall_now_ms();
     const std::string task{exchange->header("Chivewharf-Task").value_or("")};
     if (count_starts_)
-        ledger_.started(task, last_start_);
+        ledger_.started(task, last_start_,
+                        name_ + '#' +
+                            std::string{exchange->header("Chivewharf-Attempt").value_or("?")});
     if (mode_ == runner_mode::fail) {
         answer(*exchange, 500, {{"error", "runner fails every task"}});
         return;
--- a/testing/standin_upstream/start_ledger.cpp
+++ b/testing/standin_upstream/start_ledger.cpp
@@ -2,12 +2,13 @@
 
 namespace chivewharf::testing_support {
 
-void start_ledger::started(const std::string& task, wall_ms now)
+void start_ledger::started(const std::string& task, wall_ms now, std::string where)
 {
     auto& one = starts_[task];
     if (one.count++ == 0)
         one.first = now;
     one.last = now;
+    one.where += std::move(where) + '@' + std::to_string(now) + ' ';
 }
 
 nlohmann::json start_ledger::all() const
@@ -22,7 +23,7 @@
 {
     auto out = nlohmann::json::object();
     for (const auto& [task, one] : starts_)
-        out[task] = {one.count, one.first, one.last};
+        out[task] = {one.count, one.first, one.last, one.where};
     return out;
 }
 
--- a/testing/standin_upstream/start_ledger.h
+++ b/testing/standin_upstream/start_ledger.h
@@ -12,7 +12,8 @@
 class start_ledger {
 public:
     /// \param now wall time
-    void started(const std::string& task, wall_ms now);
+    /// \param where runner and attempt, which help to trace a second start
+    void started(const std::string& task, wall_ms now, std::string where);
 
     std::uint64_t starts_of(const std::string& task) const;
 
@@ -22,7 +23,7 @@
     /// Starts of every task by its name.
     nlohmann::json all() const;
 
-    /// Count, first and last time of the starts of every task: `{task: [count, ms, ms]}`.
+    /// Starts of every task: `{task: [count, first ms, last ms, where]}`.
     nlohmann::json times() const;
 
 private:
@@ -30,6 +31,7 @@
         std::uint64_t count = 0;
         wall_ms first = 0;
         wall_ms last = 0;
+        std::string where;
     };
 
     std::unordered_map<std::string, entry> starts_;
