Tell the home of a worker that the worker announced to leave

Ruled out: the platform list, which ends a notice only after 10 s. Change: slot_return carries the names of leaving workers; a host that receives the header tells the worker's home, again every 500 ms for 3 s. The home then renews no grant, so borrowers stop within the lease of 2 s.

--- a/modules/dispatch/peer_codec.cpp
+++ b/modules/dispatch/peer_codec.cpp
@@ -74,7 +74,7 @@
 
 wire::slot_return to_wire(const upstream::slot_return& message)
 {
-    return {to_wire(message.slots)};
+    return {to_wire(message.slots), message.leaving};
 }
 
 membership::member_message from_wire(const wire::heartbeat& message)
@@ -113,7 +113,7 @@
 
 upstream::slot_return from_wire(const wire::slot_return& message)
 {
-    return {from_wire(message.slots)};
+    return {from_wire(message.slots), message.leaving};
 }
 
 } // namespace chivewharf::dispatch
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -373,8 +373,10 @@
                            pool_.speed(ended.worker));
     }
     pool_.task_ended(ended.worker, now, pool_outcome(report.end), run_time, ended.pick.cost);
-    if (report.leaving)
+    if (report.leaving) {
         pool_.header_leaving(ended.worker, now);
+        sharing_.note_leaving(now, pool_.config(ended.worker).name);
+    }
 }
 
 void task_dispatcher::task_ended(call_id number, call_report report, time_point now)
--- a/modules/upstream/slot_messages.h
+++ b/modules/upstream/slot_messages.h
@@ -37,6 +37,7 @@
 /// that a delayed or repeated message releases nothing twice.
 struct slot_return {
     std::vector<granted_slots> slots;
+    std::vector<std::string> leaving; ///< workers that announced to the sender that they leave
 };
 
 using slot_message = std::variant<slot_request, slot_grant, slot_return>;
--- a/modules/upstream/slot_sharing.cpp
+++ b/modules/upstream/slot_sharing.cpp
@@ -119,6 +119,7 @@
     note_use();
     std::vector<outgoing_slot_message> out;
     add_returns(now, out);
+    add_leave_notices(now, out);
     add_renewals(now, out);
     add_requests(now, random, out);
     return out;
@@ -312,6 +313,10 @@
 
 void slot_sharing::on_return(time_point now, std::string_view from, const slot_return& message)
 {
+    for (const auto& worker : message.leaving) {
+        if (const auto id = pool_.find(worker))
+            pool_.header_leaving(*id, now);
+    }
     for (const auto& slots : message.slots) {
         const auto grant = lent_.find(slots.grant);
         if (grant == lent_.end() || grant->second.to != from)
@@ -322,6 +327,31 @@
     }
 }
 
+void slot_sharing::note_leaving(time_point now, const std::string& worker)
+{
+    leaving_.try_emplace(worker, leave_notice{now, now + options_.leave_notice});
+}
+
+void slot_sharing::add_leave_notices(time_point now, std::vector<outgoing_slot_message>& out)
+{
+    std::map<std::string, slot_return> notices;
+    for (auto next = leaving_.begin(); next != leaving_.end();) {
+        auto& [worker, notice] = *next;
+        const auto home = homes_.home(worker);
+        if (now >= notice.until || home.empty() || home == self_) {
+            next = leaving_.erase(next);
+            continue;
+        }
+        if (now >= notice.next) {
+            notice.next = now + options_.leave_repeat;
+            notices[std::string{home}].leaving.push_back(worker);
+        }
+        ++next;
+    }
+    for (auto& [to, message] : notices)
+        out.push_back({to, std::move(message)});
+}
+
 void slot_sharing::note_use()
 {
     std::map<std::string_view, std::uint32_t> running;
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -40,6 +40,10 @@
     duration search_longest = milliseconds{250};
     /// Part of its spare slots that a host lends in one grant; the rest serves its own arrivals.
     double lend_part = 0.5;
+    /// A home is told of a leaving worker again after this time, in case the message is lost.
+    duration leave_repeat = milliseconds{500};
+    /// And for this long; no host may send new work to the worker afterwards.
+    duration leave_notice = seconds{3};
 };
 
 /// Running totals for `/metrics`.
@@ -87,6 +91,10 @@
 
     void on_return(time_point now, std::string_view from, const slot_return& message);
 
+    /// A runner announced in a header that the worker is leaving. Its home, which grants its slots,
+    /// is told, since it may not receive an answer from the worker for a long time.
+    void note_leaving(time_point now, const std::string& worker);
+
     /// Spare slots of a peer, where another message told them. Peers with the most are asked first.
     void note_spare(const std::string& host, const std::string& service, std::uint32_t slots);
 
@@ -128,6 +136,10 @@
         time_point not_before;
         std::uint32_t refusals = 0;
     };
+    struct leave_notice {
+        time_point next;
+        time_point until;
+    };
     using grant_key = std::pair<std::string, std::uint64_t>; // lender, grant
 
     void rebuild(time_point now, const home_map* previous);
@@ -143,6 +155,7 @@
                                     const std::string& service, std::uint32_t wanted);
     void note_use();
     void add_returns(time_point now, std::vector<outgoing_slot_message>& out);
+    void add_leave_notices(time_point now, std::vector<outgoing_slot_message>& out);
     void add_renewals(time_point now, std::vector<outgoing_slot_message>& out);
     void add_requests(time_point now, rng& random, std::vector<outgoing_slot_message>& out);
     std::optional<std::string> next_peer(time_point now, const std::string& service, rng& random);
@@ -162,6 +175,7 @@
     std::map<std::uint64_t, sent_request> sent_;
     std::map<std::pair<std::string, std::string>, peer_record> peers_; // host, service
     std::map<std::string, std::uint32_t, std::less<>> backlog_;
+    std::map<std::string, leave_notice> leaving_; // by worker
     std::map<std::string, peer_record, std::less<>> searches_; // by service
     std::uint64_t next_number_;                                // of requests and grants
     sharing_counters counters_;
--- a/modules/upstream/tests/sharing_test.cpp
+++ b/modules/upstream/tests/sharing_test.cpp
@@ -194,6 +194,26 @@
     EXPECT_EQ(busy.sharing.counters().lapsed_borrowed, 0U);
 }
 
+// Guards against work for a worker that leaves (P6): only a borrower receives the worker's header,
+// and the home, which is idle until then, knows nothing of it.
+TEST(slot_sharing, home_learns_that_a_borrowed_worker_leaves)
+{
+    domain d{2, 1, 1};
+    const auto name = d.hosts[0]->sharing.home("w0");
+    const auto& home = name == "e0" ? *d.hosts[0] : *d.hosts[1];
+    auto& other = name == "e0" ? *d.hosts[1] : *d.hosts[0];
+    const auto id = *other.pool.find("w0");
+    other.pool.header_leaving(id, d.now);
+    other.sharing.note_leaving(d.now, "w0");
+    for (int i = 0; i < 5; ++i)
+        d.step();
+    EXPECT_EQ(home.pool.state(*home.pool.find("w0")), worker_state::leaving);
+    EXPECT_LE(d.messages, 2U);
+    for (int i = 0; i < 500; ++i)
+        d.step();
+    EXPECT_LE(d.messages, 10U);
+}
+
 // Guards against requests without end while the whole domain is full: at most 8 requests a second
 // for each host, each with one answer.
 TEST(slot_sharing, refusals_back_off)
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -125,7 +125,7 @@
 
 auto write(FlatBufferBuilder& b, const slot_return& m)
 {
-    return fbs::Createslot_return(b, write(b, m.slots));
+    return fbs::Createslot_return(b, write(b, m.slots), b.CreateVectorOfStrings(m.leaving));
 }
 
 auto write(FlatBufferBuilder& b, const promise_request& m)
@@ -342,6 +342,10 @@
 
 bool read(slot_return& m, const fbs::slot_return& t)
 {
+    if (t.leaving() != nullptr) {
+        for (const auto* worker : *t.leaving())
+            m.leaving.push_back(worker->str());
+    }
     return read(m.slots, t.slots());
 }
 
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -141,9 +141,10 @@
     bool operator==(const slot_grant&) const = default;
 };
 
-/// Gives lent slots back early.
+/// Gives lent slots back early and names workers that announced to the sender that they leave.
 struct slot_return {
     std::vector<lent_slots> slots;
+    std::vector<std::string> leaving;
     bool operator==(const slot_return&) const = default;
 };
 
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -27,7 +27,7 @@
             usage_average{1, 2, true, {3, 4}, {0.5F, 1.5F}},
             slot_request{7, "plugdesk", 4, {{1, "w-1", 2}}},
             slot_grant{7, "plugdesk", 2000, {{1, "w-1", 2}}, {{2, "w-2", 1}}, 3},
-            slot_return{{{1, "w-1", 2}}},
+            slot_return{{{1, "w-1", 2}}, {"w-2", "w-3"}},
             promise_request{"host-a", 2, {{3, 4}}, -5},
             promise{"host-b", {{3, 4}, {63, 1}}, 5},
             handover_records{63, 2, 1000, true, blob},
