--- a/testing/standin_upstream/start_ledger.h
+++ b/testing/standin_upstream/start_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/time.h>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -10,7 +11,9 @@
 /// Counts the starts of every task over all runners of the process.
 class start_ledger {
 public:
-    void started(const std::string& task) { ++starts_[task]; }
+    /// \param now wall time
+    /// \param where runner and attempt, which help to trace a second start
+    void started(const std::string& task, wall_ms now, std::string where);
 
     std::uint64_t starts_of(const std::string& task) const;
 
@@ -18,10 +21,20 @@
     nlohmann::json summary() const;
 
     /// Starts of every task by its name.
-    nlohmann::json all() const { return starts_; }
+    nlohmann::json all() const;
+
+    /// Starts of every task: `{task: [count, first ms, last ms, where]}`.
+    nlohmann::json times() const;
 
 private:
-    std::unordered_map<std::string, std::uint64_t> starts_;
+    struct entry {
+        std::uint64_t count = 0;
+        wall_ms first = 0;
+        wall_ms last = 0;
+        std::string where;
+    };
+
+    std::unordered_map<std::string, entry> starts_;
 };
 
 } // namespace chivewharf::testing_support
