Add the policy benchmark and ways of dispatching to compare

bench/policy drives real entry hosts under virtual time with fakes for callers, runners, links and the platform's list. Each stream of submissions has its own generator, so every policy gets the same work. policy_options selects the worker choice, the order within a customer and the split of slots among entry hosts; the defaults are the shipped ones, and the daemon does not set others. An uncoordinated split and baselines without limits have no retry budget, because it would turn their refusals into failures and flatter their percentiles.

--- /dev/null
+++ b/bench/policy/cluster_sim.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <dispatch/dispatch.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivewharf::policy {
+
+/// Deployment, load and policy of one run.
+struct cluster_options {
+    std::vector<unsigned> hosts{3, 2, 2}; ///< entry hosts of each domain
+    unsigned workers = 50;                ///< in all domains together, dealt in turns
+    unsigned slots = 8;
+    double speed_spread = 4;   ///< fastest worker over slowest
+    double declared_error = 1; ///< declared run times are off by up to this factor
+    unsigned customers = 12;
+    bool equal_weights = false; ///< otherwise 1 to 4
+    double load = 0.7;          ///< part of the capacity in reference work; 0 for none
+    unsigned caller_retries = 0;
+    double domain_latency_ms = 0.5; ///< one way
+    double peer_loss = 0;
+    duration deadline = seconds{4};
+    duration warm_up = seconds{15}; ///< the weights of joining hosts have grown
+    duration measured = seconds{20};
+    dispatch::policy_options policy;
+    std::uint64_t seed = 20261204;
+};
+
+enum class runner_mode : std::uint8_t { ok, fails, dead, silent, leaving };
+
+/// Messages that are counted. Necessary: request and answer of each task and submission.
+enum class traffic : std::uint8_t {
+    necessary,
+    refused_send, ///< a send that did not run, with its refusal
+    forward,      ///< and spill
+    grant,
+    heartbeat,
+    usage,
+    membership,
+    configuration, ///< printed, but not part of the waste of section 1.6
+};
+inline constexpr std::size_t traffic_kinds = 8;
+
+/// What one run measured between the end of the warm-up and the end.
+struct figures {
+    std::vector<double> ratio;          ///< response over the ideal on the fastest free worker
+    std::vector<double> absolute_ratio; ///< response over the ideal on the fastest worker of all
+    std::vector<double> quiet_ratio;    ///< `absolute_ratio` without customer 0
+    std::array<std::uint64_t, traffic_kinds> messages{};
+    std::map<std::string, std::uint64_t> outcomes; ///< submissions by final reason
+    std::map<std::string, std::uint64_t> quiet_outcomes;
+    std::map<std::string, std::uint64_t> task_ends;
+    std::uint64_t starts = 0;
+    std::uint64_t resubmissions = 0;
+    double good_work = 0;                    ///< reference seconds of complete submissions
+    double capacity = 0;                     ///< reference seconds that all slots could do
+    double offered_work = 0;                 ///< reference seconds
+    std::map<unsigned, double> usage;        ///< slot-seconds by customer
+    std::map<unsigned, std::uint64_t> sends; ///< by worker
+
+    double waste() const;
+    double goodput() const { return good_work / capacity; }
+};
+
+double quantile(std::vector<double> values, double q);
+
+/// Runs real entry hosts under virtual time with fakes for everything around them.
+class cluster_sim {
+public:
+    struct runner {
+        std::string name;
+        std::string domain;
+        double speed = 1;
+        runner_mode mode = runner_mode::ok;
+        std::map<std::uint64_t, std::pair<unsigned, dispatch::call_id>> running;
+        std::map<std::uint64_t, time_point> started;
+        std::map<std::uint64_t, unsigned> customer;
+    };
+
+    explicit cluster_sim(cluster_options options);
+    ~cluster_sim();
+    cluster_sim(const cluster_sim&) = delete;
+    cluster_sim& operator=(const cluster_sim&) = delete;
+
+    /// Adds an open-loop stream of submissions of a customer.
+    /// \param work reference seconds a second
+    /// \param host entry host that takes all of it; none for a balancer
+    void add_stream(unsigned customer, double work, time_point from, time_point to,
+                    std::optional<unsigned> host = std::nullopt);
+
+    /// Calls the function at a time after the start.
+    void at(duration after, std::function<void()> call)
+    {
+        schedule(start + after, std::move(call));
+    }
+
+    void set_mode(unsigned worker, runner_mode mode);
+    void kill_host(unsigned host);
+    void start_host(unsigned host);
+    void drain_host(unsigned host);
+    void cut_domain(std::optional<std::string> domain);
+    /// Cancels the submissions under way of each customer with an odd number.
+    void cancel_half();
+
+    figures run();
+
+    std::vector<runner>& workers() { return workers_; }
+    unsigned hosts() const { return static_cast<unsigned>(hosts_.size()); }
+    double weight(unsigned customer) const;
+    double capacity() const; ///< reference slots of workers
+    const cluster_options& options() const { return options_; }
+    time_point now() const { return now_; }
+    time_point measure_from() const { return start + options_.warm_up; }
+    time_point end() const { return measure_from() + options_.measured; }
+    std::uint64_t starts_of(unsigned worker) const { return total_sends_.at(worker); }
+    dispatch::entry_host& host(unsigned index) { return *hosts_[index].core; }
+
+    /// Traces counted figures of each second to standard error.
+    void trace_seconds();
+
+    static constexpr time_point start{seconds{1000}};
+
+private:
+    struct event {
+        time_point time;
+        std::uint64_t sequence = 0;
+        std::function<void()> call;
+        friend bool operator<(const event& a, const event& b)
+        {
+            return std::tie(b.time, b.sequence) < std::tie(a.time, a.sequence);
+        }
+    };
+    struct entry {
+        std::string name;
+        std::string domain;
+        double weight = 1;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<metrics::registry> metrics;
+        std::unique_ptr<dispatch::entry_host> core;
+        bool ready = false;
+        time_point tick_at{};
+    };
+    struct stream {
+        unsigned customer = 0;
+        double work = 0;
+        time_point to;
+        std::optional<unsigned> host;
+        rng random;
+    };
+    struct submission_record {
+        unsigned customer = 0;
+        unsigned host = 0;
+        std::string id;
+        std::string body;
+        time_point sent;
+        double work = 0;
+        double ideal = 0;
+        double absolute_ideal = 0;
+        double longest = 0;
+        unsigned tries = 0;
+        bool done = false;
+    };
+
+    void schedule(time_point time, std::function<void()> call);
+    void build_settings();
+    std::unique_ptr<dispatch::entry_host> make_core(unsigned host);
+    dispatch::clock_reading clock() const
+    {
+        return {now_, now_.time_since_epoch().count() / 1000000};
+    }
+    void after(unsigned host);
+    void plan_tick(unsigned host);
+    void perform(unsigned host, dispatch::action one);
+    void send_to_runner(unsigned host, dispatch::send_task task);
+    void reach_runner(unsigned host, std::uint64_t incarnation, const dispatch::send_task& task);
+    void end_call(unsigned host, std::uint64_t incarnation, dispatch::call_id call,
+                  dispatch::call_report report, duration after);
+    void stop_running(runner& worker, std::uint64_t token);
+    void deliver(unsigned from, dispatch::send_peer message);
+    bool cut(unsigned a, unsigned b) const;
+    void count(traffic kind, std::uint64_t n = 1);
+    static traffic kind_of(const wire::message& message);
+    void next_arrival(std::size_t number);
+    void make_submission(stream& from);
+    void submit(std::uint64_t number, std::optional<unsigned> host, rng& random);
+    std::optional<unsigned> balance(rng& random);
+    void answered(std::uint64_t number, const dispatch::caller_answer& answer);
+    double fastest(bool only_free) const;
+    void poll_platform();
+    void lose_link(unsigned a, unsigned b);
+
+    cluster_options options_;
+    std::shared_ptr<settings::cluster_settings> settings_;
+    std::priority_queue<event> events_;
+    std::uint64_t next_sequence_ = 0;
+    time_point now_ = start;
+    rng random_;
+    std::deque<stream> streams_;
+    std::vector<entry> hosts_;
+    std::vector<runner> workers_;
+    std::map<std::string, unsigned> host_numbers_;
+    std::map<std::string, unsigned> worker_numbers_;
+    std::map<std::uint64_t, submission_record> submissions_;
+    std::map<unsigned, std::uint64_t> total_sends_;
+    std::uint64_t next_submission_ = 1;
+    std::uint64_t next_token_ = 1;
+    std::optional<std::string> cut_domain_;
+    figures out_;
+};
+
+} // namespace chivewharf::policy
--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -48,12 +48,13 @@
 
 entry_host::entry_host(identity self, std::string peer_address,
                        std::shared_ptr<const settings::cluster_settings> settings,
-                       metrics::registry& metrics, std::uint64_t seed, time_point now)
+                       metrics::registry& metrics, std::uint64_t seed, time_point now,
+                       policy_options options)
     : self_{std::move(self)}, settings_{std::move(settings)}, metrics_{metrics}, random_{seed},
       issuer_{make_issuer(self_, settings_->policy.id_lifetime)},
       table_{table_options_of(*settings_)}, ownership_{self_, issuer_, now, actions_, metrics},
       relay_{std::make_unique<reply_relay>()}, service_{table_, ownership_, *relay_, metrics},
-      dispatcher_{table_, ownership_, service_, metrics, actions_, random_, self_},
+      dispatcher_{table_, ownership_, service_, metrics, actions_, random_, self_, options},
       spills_{table_, dispatcher_, actions_, metrics}, peers_{self_,       std::move(peer_address),
                                                               dispatcher_, actions_,
                                                               metrics,     random_,
--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -7,6 +7,7 @@
 #include <dispatch/identity.h>
 #include <dispatch/ownership_service.h>
 #include <dispatch/peer_service.h>
+#include <dispatch/policy_options.h>
 #include <dispatch/request_router.h>
 #include <dispatch/spill_service.h>
 #include <dispatch/submission_service.h>
@@ -32,9 +33,11 @@
     /// \param peer_address `IP:PORT` where peers connect
     /// \param settings tell where peers are until a configuration is in force
     /// \param seed for the random choices
+    /// \param options other than the shipped policy, for the policy benchmark
     entry_host(identity self, std::string peer_address,
                std::shared_ptr<const settings::cluster_settings> settings,
-               metrics::registry& metrics, std::uint64_t seed, time_point now);
+               metrics::registry& metrics, std::uint64_t seed, time_point now,
+               policy_options options = {});
     ~entry_host();
     entry_host(const entry_host&) = delete;
     entry_host& operator=(const entry_host&) = delete;
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -89,20 +89,50 @@
     return task_outcome::lost;
 }
 
+std::unique_ptr<upstream::choice_policy> make_choice(worker_choice choice)
+{
+    switch (choice) {
+    case worker_choice::least_outstanding:
+        return std::make_unique<upstream::least_outstanding>();
+    case worker_choice::random_worker:
+        return std::make_unique<upstream::random_worker>();
+    case worker_choice::two_random_choices:
+        return std::make_unique<upstream::two_random_choices>();
+    case worker_choice::least_finish:
+        break;
+    }
+    return std::make_unique<upstream::least_finish>();
+}
+
+upstream::sharing_options sharing_options_of(const policy_options& options)
+{
+    upstream::sharing_options sharing;
+    sharing.split = options.split;
+    return sharing;
+}
+
+std::unique_ptr<sched::job_order> make_order(job_ordering order)
+{
+    if (order == job_ordering::first_come)
+        return std::make_unique<sched::first_come>();
+    return std::make_unique<sched::shortest_remaining_work>();
+}
+
 } // namespace
 
 task_dispatcher::task_dispatcher(submission::submission_table& table, const start_guard& guard,
                                  settlement_observer& observer, metrics::registry& metrics,
-                                 action_list& actions, rng& random, const identity& self)
-    : table_{table}, guard_{guard}, observer_{observer}, actions_{actions}, random_{random},
-      retry_reasons_{metrics.reasons("chivewharf_retries_total")},
+                                 action_list& actions, rng& random, const identity& self,
+                                 policy_options options)
+    : options_{options}, table_{table}, guard_{guard}, observer_{observer}, actions_{actions},
+      random_{random}, retry_reasons_{metrics.reasons("chivewharf_retries_total")},
       queue_wait_{metrics.histogram("chivewharf_queue_wait_seconds")},
       run_time_{metrics.histogram("chivewharf_run_time_seconds")},
       starts_{metrics.counter("chivewharf_task_starts_total")},
       late_results_{metrics.counter("chivewharf_late_results_total")},
-      spills_{metrics.counter("chivewharf_spills_sent_total")},
-      order_{std::make_unique<sched::shortest_remaining_work>()}, sharing_{pool_, self.host,
-                                                                           self.incarnation}
+      spills_{metrics.counter("chivewharf_spills_sent_total")}, order_{make_order(options.order)},
+      pool_{{}, make_choice(options.choice)}, sharing_{pool_, self.host, self.incarnation,
+                                                       sharing_options_of(options)}
 {
 }
 
@@ -150,7 +180,10 @@
         wanted.insert(customer);
         const auto concurrency = static_cast<std::uint32_t>(config.max_running);
         // The settings were checked, so these calls cannot fail.
-        (void)limits_.set_customer(customer, {config.rate, config.burst, concurrency}, now);
+        sched::limit_policy limit{config.rate, config.burst, concurrency};
+        if (!options_.limits)
+            limit = {};
+        (void)limits_.set_customer(customer, limit, now);
         for (auto& [name, service] : services_) {
             sched::share_policy share;
             share.weight = config.weight;
@@ -229,6 +262,8 @@
         request.least.reset();
     if (pool_.capacity(wanted.service).workers == 0)
         return {reason::no_upstream, {}, milliseconds{500}};
+    if (!options_.limits)
+        return {};
     refresh_capacity(*service);
     return service->admission.decide(request, service->queue, limits_, now, random_);
 }
@@ -528,7 +563,10 @@
 void task_dispatcher::retry(const call& ended, reason why, time_point now)
 {
     auto& service = *ended.service;
-    if (why != reason::ownership_unproved && !service.retries.take()) {
+    // Refusals are part of an uncoordinated split, which the budget would turn into failures.
+    const bool budgeted =
+        options_.limits && options_.split != upstream::capacity_split::uncoordinated;
+    if (budgeted && why != reason::ownership_unproved && !service.retries.take()) {
         service.queue.not_run(ended.pick);
         fail(ended.key, reason::retry_budget_spent, "the service's retry budget is spent", now);
         return;
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -5,6 +5,7 @@
 #include <dispatch/action.h>
 #include <dispatch/customer_directory.h>
 #include <dispatch/identity.h>
+#include <dispatch/policy_options.h>
 #include <dispatch/spill_targets.h>
 #include <dispatch/start_guard.h>
 #include <map>
@@ -73,7 +74,7 @@
     /// \param table, guard, metrics, actions, random must outlive the dispatcher
     task_dispatcher(submission::submission_table& table, const start_guard& guard,
                     settlement_observer& observer, metrics::registry& metrics, action_list& actions,
-                    rng& random, const identity& self);
+                    rng& random, const identity& self, policy_options options = {});
     ~task_dispatcher();
     task_dispatcher(const task_dispatcher&) = delete;
     task_dispatcher& operator=(const task_dispatcher&) = delete;
@@ -174,6 +175,7 @@
     void settle(const submission::submission_key& key, const submission::consequence& effect);
     void release(sched::job_handle handle);
 
+    policy_options options_;
     submission::submission_table& table_;
     const start_guard& guard_;
     settlement_observer& observer_;
--- a/modules/upstream/slot_sharing.cpp
+++ b/modules/upstream/slot_sharing.cpp
@@ -53,10 +53,11 @@
     for (const auto id : pool_.workers()) {
         const auto& config = pool_.config(id);
         const auto host = homes_.home(config.name);
-        if (host.empty() || host == self_) {
+        if (is_own(config.name)) {
             own_[config.service].push_back(config.name);
             const auto old = previous ? previous->home(config.name) : std::string_view{};
-            if (!old.empty() && old != self_ && homes_.live(old))
+            const bool used_there = options_.split != capacity_split::uncoordinated;
+            if (used_there && !old.empty() && old != self_ && homes_.live(old))
                 usable_from_.insert_or_assign(config.name, now + wait);
         }
         else {
@@ -69,6 +70,8 @@
 
 bool slot_sharing::is_own(std::string_view worker) const
 {
+    if (options_.split == capacity_split::uncoordinated)
+        return true;
     const auto host = homes_.home(worker);
     return host.empty() || host == self_;
 }
@@ -120,7 +123,8 @@
     std::vector<outgoing_slot_message> out;
     add_returns(now, out);
     add_renewals(now, out);
-    add_requests(now, random, out);
+    if (options_.split == capacity_split::grants)
+        add_requests(now, random, out);
     return out;
 }
 
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -16,6 +16,13 @@
 
 namespace chivewharf::upstream {
 
+/// How the slots of a domain are divided among its entry hosts.
+enum class capacity_split : std::uint8_t {
+    grants,        ///< each worker has a home, which lends free slots to hosts with a backlog
+    fixed,         ///< baseline: each worker serves its home only
+    uncoordinated, ///< baseline: every host uses every worker, and the runner refuses the excess
+};
+
 /// Constants of the lending of slots.
 struct sharing_options {
     duration lease = seconds{2};
@@ -40,6 +47,7 @@
     duration search_longest = milliseconds{250};
     /// Part of its spare slots that a host lends in one grant; the rest serves its own arrivals.
     double lend_part = 0.5;
+    capacity_split split = capacity_split::grants;
 };
 
 /// Running totals for `/metrics`.
