--- a/modules/runtime/http_client_call.cpp
+++ b/modules/runtime/http_client_call.cpp
@@ -81,9 +81,8 @@
 void http_client_call::refuse(std::string message)
 {
     // Reported from the loop, so that `done` never runs inside http_client::send().
-    deadline_.once(duration{0}, [this, text = std::move(message)] {
-        finish(call_outcome::not_sent, text);
-    });
+    deadline_.once(duration{0},
+                   [this, text = std::move(message)] { finish(call_outcome::not_sent, text); });
 }
 
 void http_client_call::cancel()
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -93,16 +93,16 @@
     if (!socket)
         return unexpected{socket.error()};
     listener_ = std::move(*socket);
-    // libsoup keeps connections open between requests only while it has a listener of its own, so it
-    // gets this one. It never accepts: the source below has the higher priority and accepts until
-    // the queue is empty.
+    // libsoup keeps connections open between requests only while it has a listener of its own, so
+    // it gets this one. It never accepts: the source below has the higher priority and accepts
+    // until the queue is empty.
     GError* error = nullptr;
     if (soup_server_listen_socket(server_.get(), listener_.get(), SoupServerListenOptions{},
                                   &error) == FALSE) {
         const gerror_ptr owner{error};
-        return unexpected{runtime_error{runtime_errc::bind_failed,
-                                        "cannot listen on " + std::string{address} + ": " +
-                                            error->message}};
+        return unexpected{
+            runtime_error{runtime_errc::bind_failed,
+                          "cannot listen on " + std::string{address} + ": " + error->message}};
     }
     accept_source_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
     g_source_set_priority(accept_source_, G_PRIORITY_HIGH);
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -16,6 +16,13 @@
 
 namespace chivewharf::upstream {
 
+/// How the slots of a domain are divided among its entry hosts.
+enum class capacity_split : std::uint8_t {
+    grants,        ///< each worker has a home, which lends free slots to hosts with a backlog
+    fixed,         ///< baseline: each worker serves its home only
+    uncoordinated, ///< baseline: every host uses every worker, and the runner refuses the excess
+};
+
 /// Constants of the lending of slots.
 struct sharing_options {
     duration lease = seconds{2};
@@ -44,6 +51,7 @@
     duration leave_repeat = milliseconds{500};
     /// And for this long; no host may send new work to the worker afterwards.
     duration leave_notice = seconds{3};
+    capacity_split split = capacity_split::grants;
 };
 
 /// Running totals for `/metrics`.
@@ -175,7 +183,7 @@
     std::map<std::uint64_t, sent_request> sent_;
     std::map<std::pair<std::string, std::string>, peer_record> peers_; // host, service
     std::map<std::string, std::uint32_t, std::less<>> backlog_;
-    std::map<std::string, leave_notice> leaving_; // by worker
+    std::map<std::string, leave_notice> leaving_;              // by worker
     std::map<std::string, peer_record, std::less<>> searches_; // by service
     std::uint64_t next_number_;                                // of requests and grants
     sharing_counters counters_;
