dispatch: Add golden sessions of whole entry hosts

Commands of a session run hosts, links, the log, callers and runners in virtual time; the transcript shows each action.

--- /dev/null
+++ b/modules/dispatch/tests/rig.cpp
@@ -0,0 +1,614 @@
+#include "rig.h"
+
+#include <dispatch/overloaded.h>
+#include <iomanip>
+#include <regex>
+
+namespace chivewharf::dispatch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr time_point first_time{seconds{1000}};
+constexpr wall_ms first_wall = 1'700'000'000'000;
+constexpr duration step = milliseconds{20};
+constexpr duration read_interval = milliseconds{100};
+
+/// Messages that every host sends all the time; a session shows them on request.
+const std::set<std::string> background{
+    "heartbeat",   "member_report",  "usage_average",  "slot_request",  "slot_grant", "slot_return",
+    "load_report", "config_version", "config_request", "config_record", "ping"};
+
+json demo_base()
+{
+    auto base = json::parse(R"({
+        "site": "demo", "key_domains": ["north", "south"],
+        "domains": [{"name": "north", "region": "r"}, {"name": "south", "region": "r"}],
+        "entry_hosts": [
+            {"name": "n1", "domain": "north", "peer_address": "10.0.0.1:1"},
+            {"name": "n2", "domain": "north", "peer_address": "10.0.0.2:1"},
+            {"name": "s1", "domain": "south", "peer_address": "10.0.1.1:1"}],
+        "customers": [{"name": "acme"}, {"name": "bolt"}],
+        "services": [{"name": "plug", "idempotent": false}, {"name": "poll", "idempotent": true}],
+        "upstreams": [
+            {"name": "nw1", "address": "10.1.0.1:1", "domain": "north", "service": "plug", "slots": 2},
+            {"name": "nw2", "address": "10.1.0.2:1", "domain": "north", "service": "plug", "slots": 2},
+            {"name": "np1", "address": "10.1.0.3:1", "domain": "north", "service": "poll", "slots": 2},
+            {"name": "sw1", "address": "10.1.1.1:1", "domain": "south", "service": "plug", "slots": 2},
+            {"name": "sp1", "address": "10.1.1.2:1", "domain": "south", "service": "poll", "slots": 2}],
+        "platform": {"address": "10.2.0.1:1"}, "policy": {}})");
+    for (auto& customer : base["customers"]) {
+        const auto digest = sha256(customer["name"].get<std::string>());
+        customer["token_sha256"] = to_hex(digest.data(), digest.size());
+    }
+    return base;
+}
+
+std::vector<std::string> split(const std::string& line)
+{
+    std::istringstream in{line};
+    std::vector<std::string> out;
+    for (std::string word; in >> word;)
+        out.push_back(word);
+    return out;
+}
+
+std::pair<std::string, std::string> ordered(const std::string& a, const std::string& b)
+{
+    return a < b ? std::pair{a, b} : std::pair{b, a};
+}
+
+std::string millis(std::int64_t ms)
+{
+    return std::to_string(ms) + "ms";
+}
+
+} // namespace
+
+struct rig::node {
+    metrics::registry metrics;
+    std::unique_ptr<entry_host> core;
+    std::string name;
+    std::uint64_t incarnation = 0;
+    bool paused = false;
+    bool log_cut = false;
+    time_point next_read{};
+    std::vector<std::tuple<std::string, std::string, ownership::append_outcome>> append_answers;
+};
+
+rig::rig() : base_(demo_base()), now_{first_time}
+{
+    publish("config {}", 7);
+}
+
+rig::~rig() = default;
+
+void rig::say(const std::string& text)
+{
+    if (quiet)
+        return;
+    out_ << "  " << std::fixed << std::setprecision(3) << to_seconds(now_ - first_time) << ' '
+         << text << '\n';
+}
+
+std::string rig::take_output()
+{
+    for (const auto& [host, count] : std::exchange(claims_, {}))
+        say(host + " appends " + std::to_string(count) + " claims");
+    std::string text = out_.str();
+    out_.str({});
+    return text;
+}
+
+clock_reading rig::clock(const node& /*of*/) const
+{
+    return {now_, first_wall + to_ms(now_ - first_time)};
+}
+
+rig::node* rig::find(const std::string& name)
+{
+    const auto found = nodes_.find(name);
+    return found == nodes_.end() ? nullptr : found->second.get();
+}
+
+entry_host* rig::host(const std::string& name)
+{
+    auto* found = find(name);
+    return found == nullptr ? nullptr : found->core.get();
+}
+
+std::vector<std::string> rig::hosts() const
+{
+    std::vector<std::string> all;
+    for (const auto& [name, one] : nodes_)
+        all.push_back(name);
+    return all;
+}
+
+std::string rig::expand(const std::string& text) const
+{
+    if (text.empty() || text[0] != '$')
+        return text;
+    const auto found = names_.find(text.substr(1));
+    return found == names_.end() ? text : found->second;
+}
+
+std::shared_ptr<const settings::cluster_settings> rig::settings_now() const
+{
+    auto parsed = settings::parse_cluster(settings::make_document(base_, "base"));
+    if (!parsed)
+        throw std::runtime_error(settings::to_text(parsed.error()));
+    return std::make_shared<const settings::cluster_settings>(std::move(*parsed));
+}
+
+// Hosts and links.
+
+void rig::start_host(const std::string& name)
+{
+    auto one = std::make_unique<node>();
+    one->name = name;
+    one->incarnation = ++incarnations_ << 32U;
+    std::string domain;
+    std::string address;
+    for (const auto& seat : base_["entry_hosts"]) {
+        if (seat["name"] == name) {
+            domain = seat["domain"];
+            address = seat["peer_address"];
+        }
+    }
+    one->core = std::make_unique<entry_host>(identity{domain, name, one->incarnation}, address,
+                                             settings_now(), one->metrics, 7 + incarnations_, now_);
+    auto& ref = *one;
+    nodes_[name] = std::move(one);
+    perform(ref);
+    for (const auto& other : hosts()) {
+        if (other != name && !cut_.contains(ordered(name, other)))
+            link(name, other, true);
+    }
+}
+
+void rig::stop_host(const std::string& name)
+{
+    const auto others = hosts();
+    nodes_.erase(name);
+    for (auto& [key, one] : calls_) {
+        if (one.host == name)
+            one.host += " (gone)";
+    }
+    for (auto& [key, one] : requests_) {
+        if (one.host == name) {
+            one.host += " (gone)";
+            one.cut = true;
+        }
+    }
+    for (const auto& other : others)
+        link(name, other, false);
+}
+
+bool rig::linked(const std::string& a, const std::string& b) const
+{
+    return links_.contains(ordered(a, b));
+}
+
+void rig::link(const std::string& a, const std::string& b, bool up)
+{
+    const auto pair = ordered(a, b);
+    if (a == b || linked(a, b) == up)
+        return;
+    if (up)
+        links_[pair] = next_link_++;
+    else
+        links_.erase(pair);
+    for (const auto& [self, other] : {std::pair{a, b}, std::pair{b, a}}) {
+        auto* at = find(self);
+        if (at == nullptr)
+            continue;
+        if (up)
+            at->core->peer_up(other, clock(*at));
+        else
+            at->core->peer_down(other, clock(*at));
+        perform(*at);
+    }
+}
+
+void rig::deliver_all()
+{
+    for (std::size_t round = 0; round < 10'000; ++round) {
+        bool moved = false;
+        for (std::size_t i = 0; i < mail_.size(); ++i) {
+            if (held_.contains({mail_[i].from, mail_[i].to}))
+                continue;
+            auto* to = find(mail_[i].to);
+            if (to != nullptr && to->paused)
+                continue;
+            const auto one = std::move(mail_[i]);
+            mail_.erase(mail_.begin() + static_cast<std::ptrdiff_t>(i));
+            moved = true;
+            const auto current = links_.find(ordered(one.from, one.to));
+            const bool live = current != links_.end() && current->second == one.link;
+            if (to == nullptr || (!live && !old_links_deliver))
+                break;
+            const auto* from = find(one.from);
+            const std::string domain = from != nullptr ? from->core->self().domain : "north";
+            to->core->peer_message({domain, one.from, one.from_incarnation}, one.message,
+                                   clock(*to));
+            perform(*to);
+            break;
+        }
+        if (!moved)
+            return;
+    }
+    violation_ = "messages without end";
+}
+
+// Actions.
+
+std::string rig::text_of(const wire::message& message)
+{
+    std::ostringstream out;
+    out << wire::name_of(message);
+    std::visit(
+        overloaded{[&](const wire::forward& m) {
+                       out << ' ' << to_name(m.operation) << " id=" << m.submission_id
+                           << " customer=" << m.customer;
+                   },
+                   [&](const wire::forward_answer& m) {
+                       out << " status=" << m.status;
+                       if (!m.owner.empty())
+                           out << " owner=" << m.owner;
+                       out << ' ' << m.body;
+                   },
+                   [&](const wire::spill_task& m) {
+                       out << " task=" << m.task << " kind=" << m.kind << " attempt=" << m.attempt
+                           << " deadline=" << m.deadline_ms << "ms";
+                   },
+                   [&](const wire::spill_answer& m) {
+                       out << ' ' << to_name(static_cast<call_end>(m.end)) << ' ' << m.message
+                           << ' ' << m.body;
+                   },
+                   [&](const wire::promise_request& m) { out << " slots=" << m.slots.size(); },
+                   [&](const wire::promise& m) { out << " slots=" << m.slots.size(); },
+                   [&](const wire::handover_records& m) {
+                       out << " slot=" << m.slot << " epoch=" << m.epoch
+                           << " quarantine=" << m.quarantine_ms << "ms bytes=" << m.body.size();
+                   },
+                   [&](const wire::config_version& m) { out << " version=" << m.version; },
+                   [](const auto&) {}},
+        message);
+    return out.str();
+}
+
+void rig::show(const node& of, const action& one)
+{
+    std::visit(
+        overloaded{[&](const answer_caller& a) {
+                       std::string retry =
+                           a.answer.retry_after > duration{0} ? " (retry after)" : "";
+                       say(of.name + " answers " + waiter_names_[a.waiter] + ": " +
+                           std::to_string(a.answer.status) + retry + ' ' + a.answer.body);
+                   },
+                   [&](const send_task& t) {
+                       say(of.name + " sends c" + std::to_string(next_call_) + " to " + t.worker +
+                           ": " + t.task + " attempt=" + std::to_string(t.attempt) +
+                           " kind=" + t.kind + " customer=" + t.customer +
+                           " remaining=" + millis(to_ms(t.remaining)) + " start_by=+" +
+                           millis(t.start_by - clock(of).wall) + " payload=" + t.payload);
+                   },
+                   [&](const abort_call& a) {
+                       for (const auto& [name, call] : calls_) {
+                           if (call.host == of.name && call.task.call == a.call)
+                               say(of.name + " aborts " + name);
+                       }
+                   },
+                   [&](const send_peer& p) {
+                       const std::string name{wire::name_of(p.message)};
+                       if (!background.contains(name) || shown_.contains(name))
+                           say(of.name + " -> " + p.host + ": " + text_of(p.message) +
+                               (linked(of.name, p.host) ? "" : " (no link)"));
+                   },
+                   [&](const append_record& a) {
+                       const auto type = json::parse(a.text).value("type", "");
+                       if (type == "claim") {
+                           ++claims_[of.name];
+                           return;
+                       }
+                       const auto slots = json::parse(a.text).value("slots", json::array()).size();
+                       say(of.name + " appends to " + a.stream + ": " + type +
+                           (slots > 0 ? " of " + std::to_string(slots) + " slots" : ""));
+                   }},
+        one);
+}
+
+void rig::perform(node& of)
+{
+    for (auto& one : of.core->take_actions()) {
+        if (!quiet)
+            show(of, one);
+        std::visit(
+            overloaded{
+                [&](answer_caller& a) {
+                    requests_[waiter_names_[a.waiter]].answers.push_back(std::move(a.answer));
+                },
+                [&](send_task& t) {
+                    calls_['c' + std::to_string(next_call_++)] = {of.name, std::move(t), false};
+                },
+                [](abort_call&) {},
+                [&](send_peer& p) {
+                    const auto current = links_.find(ordered(of.name, p.host));
+                    if (current != links_.end())
+                        mail_.push_back({of.name, of.incarnation, p.host, current->second,
+                                         std::move(p.message)});
+                },
+                [&](append_record& a) {
+                    using ownership::append_outcome;
+                    auto outcome = append_outcome::not_written;
+                    if (!of.log_cut && log_mode_ != "down") {
+                        log_[a.stream].emplace_back(clock(of).wall, a.text);
+                        outcome = log_mode_ == "lost" ? append_outcome::may_have_been_written
+                                                      : append_outcome::written;
+                    }
+                    of.append_answers.emplace_back(a.stream, a.record_id, outcome);
+                }},
+            one);
+    }
+}
+
+// Time and the log.
+
+void rig::read_logs(node& of)
+{
+    for (const auto& [stream, id, outcome] : std::exchange(of.append_answers, {}))
+        of.core->append_ended(stream, id, outcome, clock(of));
+    if (of.log_cut || log_mode_ == "down" || now_ < of.next_read)
+        return;
+    of.next_read = now_ + read_interval;
+    const auto& slots = log_[of.core->ownership_stream()];
+    ownership::log_read read{now_, 0, {}, true};
+    for (auto i = of.core->ownership_offset(); i < slots.size(); ++i)
+        read.records.emplace_back(i, slots[i].second);
+    of.core->ownership_read(read, clock(of));
+    perform(of);
+    const auto& configs = log_[config_service::stream];
+    config_read config{of.core->config_offset(), 0, {}, true};
+    for (auto i = config.from; i < configs.size(); ++i)
+        config.records.push_back({i, configs[i].first, configs[i].second});
+    if (!config.records.empty())
+        of.core->config_was_read(config, clock(of));
+    perform(of);
+    auto& seen = seen_version_[of.name + to_hex(of.incarnation)];
+    if (of.core->version() < seen)
+        violation_ = "configuration version fell at " + of.name;
+    if (of.core->version() > seen)
+        say(of.name + " has version " + std::to_string(of.core->version()) + " in force");
+    seen = std::max(seen, of.core->version());
+}
+
+void rig::advance(duration by)
+{
+    const auto until = now_ + by;
+    while (now_ < until) {
+        now_ = std::min(now_ + step, until);
+        for (const auto& name : hosts()) {
+            auto& one = *find(name);
+            if (one.paused)
+                continue;
+            read_logs(one);
+            if (one.core->next_tick(now_) <= now_) {
+                one.core->tick(clock(one));
+                perform(one);
+            }
+        }
+        deliver_all();
+    }
+}
+
+void rig::publish(const std::string& line, std::size_t at)
+{
+    const auto patch = json::parse(line.substr(at));
+    const auto merged = [&] {
+        auto copy = base_;
+        copy.merge_patch(patch);
+        return copy;
+    }();
+    configlog::config_record record;
+    record.record_id = "r" + std::to_string(log_[config_service::stream].size());
+    record.version = version_ + 1;
+    record.based_on = version_;
+    record.author = "ann";
+    record.settings = merged;
+    record.overlays = json::object();
+    log_[config_service::stream].emplace_back(first_wall + to_ms(now_ - first_time),
+                                              configlog::encode(record));
+    const auto parsed = settings::parse_cluster(settings::make_document(merged, "base"));
+    const auto before = settings_now();
+    if (parsed && settings::changes_needing_restart(*before, *parsed).empty()) {
+        base_ = merged;
+        ++version_;
+    }
+}
+
+// Callers and runners.
+
+void rig::request(const words& w, wire::operation operation, const std::string& line)
+{
+    auto* at = find(w[1]);
+    if (at == nullptr || at->paused)
+        return;
+    caller_request wanted;
+    wanted.operation = operation;
+    wanted.who = next_waiter_++;
+    wanted.id = expand(w[3]);
+    wanted.customer = "acme";
+    for (std::size_t i = 4; i < w.size(); ++i) {
+        if (w[i].starts_with("wait="))
+            wanted.wait = milliseconds{std::stoll(w[i].substr(5))};
+        else if (w[i].starts_with("as="))
+            wanted.customer = w[i].substr(3);
+        else if (operation == wire::operation::submit && w[i][0] == '{')
+            wanted.body = w[i];
+    }
+    if (operation == wire::operation::submit && wanted.body.empty()) {
+        // Short form: SERVICE DEADLINE_MS KIND,KIND...
+        json body{{"service", w.at(4)}, {"deadline_ms", std::stoll(w.at(5))}};
+        std::istringstream kinds{w.at(6)};
+        for (std::string kind; std::getline(kinds, kind, ',');)
+            body["tasks"].push_back({{"kind", kind}, {"declared_ms", 100}, {"payload", kind}});
+        wanted.body = body.dump();
+    }
+    waiter_names_[wanted.who] = w[2];
+    requests_[w[2]] = {at->name, wanted.id, line, now_, {}, false};
+    at->core->request(std::move(wanted), clock(*at));
+    perform(*at);
+}
+
+void rig::end_call(const words& w, const std::string& line)
+{
+    const auto found = calls_.find(w[1]);
+    if (found == calls_.end())
+        return;
+    const auto open = found->second;
+    auto* at = find(open.host);
+    if (at != nullptr && at->paused)
+        return;
+    call_report report;
+    for (std::size_t i = 0; i < enum_count<call_end>; ++i) {
+        if (w[2] == to_name(static_cast<call_end>(i)))
+            report.end = static_cast<call_end>(i);
+    }
+    const bool unsent = report.end == call_end::not_sent || report.end == call_end::withheld;
+    if (at != nullptr && !unsent && !open.started) {
+        run("start " + w[1]);
+        const auto again = calls_.find(w[1]);
+        if (again == calls_.end())
+            return;
+    }
+    calls_.erase(w[1]);
+    const auto body = line.find('{');
+    if (body != std::string::npos)
+        report.body = line.substr(body);
+    if (report.end == call_end::answered && report.body.empty())
+        report.body = "\"" + open.task.task + '#' + w[1] + '"';
+    if (report.end == call_end::answered)
+        payloads_[open.task.customer + ' ' + open.task.task].push_back(report.body);
+    report.leaving = w.back() == "leaving";
+    if (at == nullptr)
+        return;
+    at->core->task_ended(open.task.call, std::move(report), clock(*at));
+    perform(*at);
+}
+
+void rig::run(const std::string& line)
+{
+    const auto w = split(line);
+    const auto& verb = w.at(0);
+    const auto at = [&]() -> node* { return w.size() > 1 ? find(w[1]) : nullptr; }();
+    if (verb == "settings")
+        base_.merge_patch(json::parse(line.substr(9)));
+    else if (verb == "host")
+        start_host(w[1]);
+    else if (verb == "kill")
+        stop_host(w[1]);
+    else if (verb == "show")
+        shown_.insert(w.begin() + 1, w.end());
+    else if (verb == "advance")
+        advance(milliseconds{std::stoll(w[1])});
+    else if (verb == "log")
+        log_mode_ = w[1];
+    else if (verb == "config")
+        publish(line, 7);
+    else if (verb == "link" || verb == "unlink") {
+        if (verb == "link")
+            cut_.erase(ordered(w[1], w[2]));
+        else
+            cut_.insert(ordered(w[1], w[2]));
+        if (verb == "unlink" || (find(w[1]) != nullptr && find(w[2]) != nullptr))
+            link(w[1], w[2], verb == "link");
+    }
+    else if (verb == "relink") {
+        if (linked(w[1], w[2])) {
+            link(w[1], w[2], false);
+            link(w[1], w[2], true);
+        }
+    }
+    else if (verb == "hold")
+        held_.insert({w[1], w[2]});
+    else if (verb == "release")
+        held_.erase({w[1], w[2]});
+    else if (verb == "drop")
+        std::erase_if(mail_, [&](const auto& m) { return m.from == w[1] && m.to == w[2]; });
+    else if (verb == "repeat") {
+        const auto waiting = mail_;
+        for (const auto& m : waiting) {
+            if (m.from == w[1] && m.to == w[2])
+                mail_.push_back(m);
+        }
+    }
+    else if (verb == "start") {
+        const auto call = calls_.find(w[1]);
+        if (call != calls_.end() && !call->second.started) {
+            auto* sender = find(call->second.host);
+            const bool go =
+                sender != nullptr &&
+                (ignore_confirm || sender->core->confirm_start(call->second.task.call, now_));
+            if (go) {
+                call->second.started = true;
+                ++starts_[call->second.task.customer + ' ' + call->second.task.task];
+            }
+            else if (sender != nullptr) {
+                say(call->second.host + " withholds " + w[1]);
+                end_call({"end", w[1], "withheld"}, "");
+            }
+        }
+    }
+    else if (verb == "end")
+        end_call(w, line);
+    else if (at == nullptr)
+        say(w.size() > 1 ? w[1] + " is not running" : "unknown command");
+    else if (verb == "issue")
+        names_[w[2]] = at->core->issue_ids(1, clock(*at)).front();
+    else if (verb == "submit")
+        request(w, wire::operation::submit, line);
+    else if (verb == "fetch")
+        request(w, wire::operation::fetch, line);
+    else if (verb == "cancel")
+        request(w, wire::operation::cancel, line);
+    else if (verb == "gone") {
+        requests_[w[2]].cut = true;
+        for (const auto& [who, name] : waiter_names_) {
+            if (name == w[2])
+                at->core->caller_gone(who, clock(*at));
+        }
+        perform(*at);
+    }
+    else if (verb == "pause" || verb == "resume")
+        at->paused = verb == "pause";
+    else if (verb == "cutlog" || verb == "joinlog")
+        at->log_cut = verb == "cutlog";
+    else if (verb == "leaving") {
+        upstream::platform_list list{now_, {}};
+        for (const auto& worker : base_["upstreams"]) {
+            const std::string name = worker["name"];
+            list.workers.push_back({name, std::find(w.begin() + 2, w.end(), name) != w.end()});
+        }
+        at->core->platform_hosts(list, {}, clock(*at));
+        perform(*at);
+    }
+    else if (verb == "drain" && !at->paused) {
+        at->core->begin_drain(clock(*at));
+        perform(*at);
+    }
+    else if (verb == "handover" && !at->paused) {
+        if (at->core->drained())
+            at->core->hand_over(clock(*at));
+        perform(*at);
+    }
+    else if (verb == "status")
+        say(w[1] + " in_flight=" + std::to_string(at->core->in_flight()) +
+            (at->core->drained() ? " drained" : "") +
+            (at->core->handed_over() ? "" : " handing over") +
+            " version=" + std::to_string(at->core->version()));
+    deliver_all();
+}
+
+} // namespace chivewharf::dispatch
