ownership: Hand over the slots of one successor with one record

The record now lists slots as a renewal does and is judged for each slot on its own; an append that was not written is repeated. Parts of a slot's records carry their number, so that a part lost with its link leaves the quarantine in place. The times of slot ownership come from the settings, which were ignored, and can no longer change at run time, because hosts with different times would disagree about when a lease has lapsed.

--- a/modules/dispatch/handover_codec.cpp
+++ b/modules/dispatch/handover_codec.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t records_per_part = 10'000;
 constexpr std::size_t record_bytes = 8 + 8 + 16 + 3;
+constexpr std::size_t number_bytes = 8;
 
 void put_number(std::string& out, std::uint64_t value)
 {
@@ -52,10 +53,12 @@
 std::vector<record_part> encode_records(const std::vector<submission::held_record>& records)
 {
     std::vector<record_part> parts(1);
+    put_number(parts.back().text, 0);
     std::size_t in_part = 0;
     for (const auto& record : records) {
         if (in_part == records_per_part) {
             parts.emplace_back();
+            put_number(parts.back().text, parts.size() - 1);
             in_part = 0;
         }
         put_record(parts.back().text, record);
@@ -65,17 +68,19 @@
     return parts;
 }
 
-std::vector<submission::held_record> decode_records(std::string_view text)
+std::optional<received_part> decode_records(std::string_view text)
 {
-    std::vector<submission::held_record> records;
-    while (text.size() >= record_bytes) {
+    if (text.size() < number_bytes || (text.size() - number_bytes) % record_bytes != 0)
+        return std::nullopt;
+    received_part part;
+    part.number = get_number(text);
+    for (text.remove_prefix(number_bytes); !text.empty(); text.remove_prefix(record_bytes)) {
         submission::held_record record;
         if (!get_record(text, record))
-            break;
-        records.push_back(record);
-        text.remove_prefix(record_bytes);
+            return std::nullopt;
+        part.records.push_back(record);
     }
-    return records;
+    return part;
 }
 
 } // namespace chivewharf::dispatch
--- a/modules/dispatch/handover_codec.h
+++ b/modules/dispatch/handover_codec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <submission/submission_table.h>
@@ -14,10 +16,17 @@
 };
 
 /// Encodes records in parts of at most 10,000; at least one part, so that an empty slot is handed
-/// over too. The layout is fixed-size and little-endian.
+/// over too. Each part begins with its number, so that a lost part is noticed. The layout is
+/// fixed-size and little-endian.
 std::vector<record_part> encode_records(const std::vector<submission::held_record>& records);
 
-/// Decodes a part; stops at the first record that is incomplete or out of range.
-std::vector<submission::held_record> decode_records(std::string_view text);
+/// A part of the records of a slot as it arrived.
+struct received_part {
+    std::uint64_t number = 0; ///< from 0 on
+    std::vector<submission::held_record> records;
+};
+
+/// Decodes a part. \return none if a record is incomplete or out of range
+std::optional<received_part> decode_records(std::string_view text);
 
 } // namespace chivewharf::dispatch
--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -1,5 +1,6 @@
 #include <dispatch/ownership_service.h>
 
+#include <algorithm>
 #include <dispatch/handover_codec.h>
 
 namespace chivewharf::dispatch {
@@ -26,6 +27,24 @@
     return out;
 }
 
+ownership::ownership_options options_of(const settings::policy_settings& policy)
+{
+    ownership::ownership_options options;
+    options.lease = policy.lease;
+    options.renew_interval = policy.lease_renew;
+    options.renew_retry = policy.lease_renew / 5;
+    options.clock_drift = policy.clock_drift;
+    options.claim_margin = policy.claim_margin;
+    options.id_lifetime = policy.id_lifetime;
+    options.promise_hold = policy.promise;
+    options.promise_interval = policy.promise_renew;
+    // One renewal was missed, and five ninths of the lease remain to collect promises.
+    options.promise_after = policy.lease * 4 / 9;
+    options.max_log_silence = policy.unreadable_log_limit;
+    options.new_seat_wait = policy.new_seat_wait;
+    return options;
+}
+
 } // namespace
 
 ownership_service::ownership_service(identity self, const submission::id_issuer& issuer,
@@ -45,6 +64,8 @@
         if (host.domain == self_.domain && host.name != self_.host)
             other_seats_.push_back(host.name);
     }
+    // These settings are fixed at run time, so they change only with the first configuration.
+    owner_.set_options(options_of(settings.policy));
     owner_.set_seats(other_seats_, may_claim_from);
 }
 
@@ -67,8 +88,13 @@
                                   time_point now)
 {
     owner_.on_append(record_id, outcome, now);
-    if (outcome != ownership::append_outcome::may_have_been_written)
-        handovers_.erase(record_id);
+    const auto handover = handovers_.find(record_id);
+    if (handover == handovers_.end())
+        return;
+    if (outcome == ownership::append_outcome::not_written)
+        actions_.add(append_record{stream_, record_id, handover->second});
+    else if (outcome == ownership::append_outcome::written)
+        handovers_.erase(handover);
 }
 
 void ownership_service::tick(time_point now)
@@ -110,12 +136,26 @@
                                             const wire::handover_records& part,
                                             submission::submission_table& table, time_point now)
 {
-    for (const auto& record : decode_records(part.body)) {
+    if (part.slot >= ownership::slot_count)
+        return;
+    const auto decoded = decode_records(part.body);
+    const std::pair at{part.slot, part.epoch};
+    // A part that was lost with its link leaves the records incomplete; the quarantine then holds.
+    const auto expected = next_parts_.find(at);
+    const bool in_order =
+        decoded &&
+        decoded->number == (expected == next_parts_.end() ? 0 : expected->second);
+    next_parts_.erase(at);
+    if (!in_order)
+        return;
+    for (const auto& record : decoded->records) {
         if (!table.import(record, now))
             return;
     }
     if (part.last)
         owner_.on_handover_records({part.slot, part.epoch}, milliseconds{part.quarantine_ms}, now);
+    else
+        next_parts_[at] = decoded->number + 1;
 }
 
 void ownership_service::hand_over(const std::vector<ownership::incarnation_id>& successors,
@@ -124,26 +164,32 @@
     owner_.stop_claiming();
     if (successors.empty())
         return;
-    std::size_t turn = 0;
-    for (const auto& owned : owner_.own_slots()) {
-        const auto& to = successors[turn++ % successors.size()];
-        const auto quarantine = owner_.quarantine_left(owned.slot, now);
-        auto append = owner_.hand_over(owned.slot, to);
+    const auto owned = owner_.own_slots();
+    for (std::size_t turn = 0; turn < std::min(successors.size(), owned.size()); ++turn) {
+        std::vector<unsigned> slots;
+        for (auto i = turn; i < owned.size(); i += successors.size())
+            slots.push_back(owned[i].slot);
+        auto append = owner_.hand_over(slots, successors[turn]);
         if (!append)
             continue;
-        const auto records = table.export_slot(static_cast<std::uint8_t>(owned.slot));
-        for (auto& body : encode_records(records)) {
-            const bool last = body.last;
-            actions_.add(send_peer{
-                to.host, wire::handover_records{static_cast<std::uint16_t>(owned.slot), owned.epoch,
-                                                static_cast<std::uint32_t>(to_ms(quarantine)), last,
-                                                std::move(body.text)}});
-        }
-        handovers_.insert(append->record_id);
+        for (const auto slot : slots)
+            send_records(slot, successors[turn].host, table, now);
+        handovers_.emplace(append->record_id, append->text);
         actions_.add(append_record{stream_, append->record_id, std::move(append->text)});
     }
 }
 
+void ownership_service::send_records(unsigned slot, const std::string& to,
+                                     const submission::submission_table& table, time_point now)
+{
+    const auto quarantine = static_cast<std::uint32_t>(to_ms(owner_.quarantine_left(slot, now)));
+    for (auto& body : encode_records(table.export_slot(static_cast<std::uint8_t>(slot)))) {
+        actions_.add(send_peer{
+            to, wire::handover_records{static_cast<std::uint16_t>(slot), owner_.own_epoch(slot),
+                                       quarantine, body.last, std::move(body.text)}});
+    }
+}
+
 std::string ownership_service::owner_host(unsigned slot) const
 {
     const auto& state = owner_.log().slot(slot);
--- a/modules/dispatch/ownership_service.h
+++ b/modules/dispatch/ownership_service.h
@@ -6,7 +6,7 @@
 #include <dispatch/start_guard.h>
 #include <metrics/registry.h>
 #include <ownership/slot_owner.h>
-#include <set>
+#include <map>
 #include <settings/cluster_settings.h>
 #include <string>
 #include <submission/submission_table.h>
@@ -48,7 +48,8 @@
     void on_handover_records(const std::string& from, const wire::handover_records& part,
                              submission::submission_table& table, time_point now);
 
-    /// Hands every slot to a live host of the domain, in turn. Without one the slots are left.
+    /// Hands every slot to a live host of the domain, in turn, with one append for each successor.
+    /// Without one the slots are left.
     void hand_over(const std::vector<ownership::incarnation_id>& successors,
                    const submission::submission_table& table, time_point now);
 
@@ -67,6 +68,8 @@
 
 private:
     id_verdict judge_slot(unsigned slot, time_point now) const;
+    void send_records(unsigned slot, const std::string& to,
+                      const submission::submission_table& table, time_point now);
 
     identity self_;
     const submission::id_issuer& issuer_;
@@ -74,7 +77,9 @@
     ownership::slot_owner owner_;
     std::string stream_;
     std::vector<std::string> other_seats_;
-    std::set<std::string> handovers_; ///< record ids of handovers that were not confirmed
+    std::map<std::string, std::string> handovers_; ///< text of unconfirmed handovers by record id
+    /// Next part of the records of a slot that arrive from its owner.
+    std::map<std::pair<std::uint16_t, std::uint64_t>, std::uint64_t> next_parts_;
     std::uint64_t& claims_;
     std::uint64_t& promise_requests_;
 };
--- a/modules/ownership/ownership_log_state.cpp
+++ b/modules/ownership/ownership_log_state.cpp
@@ -64,14 +64,16 @@
 
 void ownership_log_state::apply(const handover_record& handover, applied_record& out)
 {
-    slot_state& state = slots_[handover.at.slot];
-    const bool current = state.epoch == handover.at.epoch && state.owner == handover.from;
-    const bool adopted = !state.certain && handover.at.epoch >= state.epoch;
-    if (!current && !adopted)
-        return;
-    state.epoch = handover.at.epoch + 1;
-    state.owner = handover.to;
-    out.slots.push_back(handover.at.slot);
+    for (const slot_epoch& at : handover.slots) {
+        slot_state& state = slots_[at.slot];
+        const bool current = state.epoch == at.epoch && state.owner == handover.from;
+        const bool adopted = !state.certain && at.epoch >= state.epoch;
+        if (!current && !adopted)
+            continue;
+        state.epoch = at.epoch + 1;
+        state.owner = handover.to;
+        out.slots.push_back(at.slot);
+    }
 }
 
 } // namespace chivewharf::ownership
--- a/modules/ownership/ownership_record.cpp
+++ b/modules/ownership/ownership_record.cpp
@@ -44,22 +44,26 @@
     return out;
 }
 
+json slots_json(const std::vector<slot_epoch>& slots)
+{
+    auto out = json::array();
+    for (const auto& at : slots)
+        out.push_back(json::array({at.slot, at.epoch}));
+    return out;
+}
+
 json body_json(const renew_record& renew)
 {
     auto out = to_json(renew.owner);
     out["type"] = "renew";
-    auto slots = json::array();
-    for (const auto& at : renew.slots)
-        slots.push_back(json::array({at.slot, at.epoch}));
-    out["slots"] = std::move(slots);
+    out["slots"] = slots_json(renew.slots);
     return out;
 }
 
 json body_json(const handover_record& handover)
 {
     return {{"type", "handover"},
-            {"slot", handover.at.slot},
-            {"epoch", handover.at.epoch},
+            {"slots", slots_json(handover.slots)},
             {"from", to_json(handover.from)},
             {"to", to_json(handover.to)}};
 }
@@ -137,15 +141,12 @@
     return claim_record{*at, *owner};
 }
 
-std::optional<record_body> read_renew(const json& object)
+/// Reads a list of pairs of slot and epoch with at least one element and each slot once.
+std::optional<std::vector<slot_epoch>> read_slots(const json& slots)
 {
-    if (!has_exactly(object, {"record_id", "type", "host", "incarnation", "slots"}))
-        return std::nullopt;
-    const auto owner = read_owner(object);
-    const json& slots = object["slots"];
-    if (!owner || !slots.is_array() || slots.empty())
+    if (!slots.is_array() || slots.empty())
         return std::nullopt;
-    renew_record renew{*owner, {}};
+    std::vector<slot_epoch> out;
     std::array<bool, slot_count> seen{};
     for (const json& pair : slots) {
         if (!pair.is_array() || pair.size() != 2)
@@ -153,23 +154,34 @@
         const auto at = read_at(pair[0], pair[1]);
         if (!at || std::exchange(seen[at->slot], true))
             return std::nullopt;
-        renew.slots.push_back(*at);
+        out.push_back(*at);
     }
-    return renew;
+    return out;
+}
+
+std::optional<record_body> read_renew(const json& object)
+{
+    if (!has_exactly(object, {"record_id", "type", "host", "incarnation", "slots"}))
+        return std::nullopt;
+    const auto owner = read_owner(object);
+    auto slots = read_slots(object["slots"]);
+    if (!owner || !slots)
+        return std::nullopt;
+    return renew_record{*owner, std::move(*slots)};
 }
 
 std::optional<record_body> read_handover(const json& object)
 {
-    if (!has_exactly(object, {"record_id", "type", "slot", "epoch", "from", "to"}) ||
+    if (!has_exactly(object, {"record_id", "type", "slots", "from", "to"}) ||
         !has_exactly(object["from"], {"host", "incarnation"}) ||
         !has_exactly(object["to"], {"host", "incarnation"}))
         return std::nullopt;
-    const auto at = read_at(object["slot"], object["epoch"]);
+    auto slots = read_slots(object["slots"]);
     const auto from = read_owner(object["from"]);
     const auto to = read_owner(object["to"]);
-    if (!at || !from || !to)
+    if (!slots || !from || !to)
         return std::nullopt;
-    return handover_record{*at, *from, *to};
+    return handover_record{std::move(*slots), *from, *to};
 }
 
 std::optional<record_body> read_body(const json& object)
--- a/modules/ownership/ownership_record.h
+++ b/modules/ownership/ownership_record.h
@@ -42,9 +42,10 @@
     bool operator==(const renew_record&) const = default;
 };
 
-/// Passes the slot from its owner at `at.epoch` to `to`, which owns it at the next epoch.
+/// Passes slots from their owner, each at its epoch, to `to`, which owns them at the next epoch. The
+/// record is judged for each slot on its own.
 struct handover_record {
-    slot_epoch at;
+    std::vector<slot_epoch> slots;
     incarnation_id from;
     incarnation_id to;
 
--- a/modules/ownership/slot_owner.cpp
+++ b/modules/ownership/slot_owner.cpp
@@ -57,9 +57,12 @@
     const auto& body = applied.record->body;
     if (const auto* claim = std::get_if<claim_record>(&body); claim && !applied.slots.empty())
         take_claim(*claim, applied, now, changes);
-    const auto* handover = std::get_if<handover_record>(&body);
-    if (handover != nullptr && !applied.slots.empty())
-        take_handover(*handover, now, changes);
+    if (const auto* handover = std::get_if<handover_record>(&body)) {
+        for (const auto& at : handover->slots) {
+            if (std::count(applied.slots.begin(), applied.slots.end(), at.slot) > 0)
+                take_handover(at, handover->to, now, changes);
+        }
+    }
     const auto mine = pending_.find(applied.record->record_id);
     if (mine == pending_.end())
         return;
@@ -83,19 +86,18 @@
     changes.gained.push_back(claim.at.slot);
 }
 
-void slot_owner::take_handover(const handover_record& handover, time_point now,
+void slot_owner::take_handover(const slot_epoch& at, const incarnation_id& to, time_point now,
                                ownership_changes& changes)
 {
-    const auto number = handover.at.slot;
-    disown(number, changes);
-    if (handover.to != self_)
+    disown(at.slot, changes);
+    if (to != self_)
         return;
-    const slot_info& slot = slots_[number];
-    own(number, handover.at.epoch + 1,
-        slot.received == handover.at ? slot.received_quarantine : now + options_.id_lifetime);
+    const slot_info& slot = slots_[at.slot];
+    own(at.slot, at.epoch + 1,
+        slot.received == at ? slot.received_quarantine : now + options_.id_lifetime);
     // The handover gives no lease, because this incarnation did not read its clock before it.
     next_renewal_ = now;
-    changes.gained.push_back(number);
+    changes.gained.push_back(at.slot);
 }
 
 void slot_owner::own(unsigned slot, std::uint64_t epoch, time_point quarantine_until)
@@ -350,13 +352,20 @@
 
 // Handover.
 
-std::optional<append_action> slot_owner::hand_over(unsigned slot, const incarnation_id& to)
+std::optional<append_action> slot_owner::hand_over(const std::vector<unsigned>& slots,
+                                                   const incarnation_id& to)
 {
-    slot_info& info = slots_.at(slot);
-    if (info.epoch == 0)
+    handover_record handover{{}, self_, to};
+    for (const auto slot : slots) {
+        slot_info& info = slots_.at(slot);
+        if (info.epoch == 0)
+            continue;
+        info.handed_over = true;
+        handover.slots.push_back({slot, info.epoch});
+    }
+    if (handover.slots.empty())
         return std::nullopt;
-    info.handed_over = true;
-    ownership_record record{next_record_id(), handover_record{{slot, info.epoch}, self_, to}};
+    ownership_record record{next_record_id(), std::move(handover)};
     return append_action{record.record_id, encode(record)};
 }
 
--- a/modules/ownership/slot_owner.h
+++ b/modules/ownership/slot_owner.h
@@ -92,6 +92,10 @@
     /// \param started boot clock at process start
     slot_owner(incarnation_id self, time_point started, ownership_options options = {});
 
+    /// Sets times and bounds, which must be the same on all hosts of the domain. Call it only
+    /// before the first claim.
+    void set_options(const ownership_options& options) { options_ = options; }
+
     /// Sets the other seats of the domain, from the configuration in force.
     /// \param may_claim_from `new_seat_wait` after the record that added this seat, or any past
     /// time
@@ -139,11 +143,12 @@
     /// Stops claims, at the begin of a planned stop.
     void stop_claiming() noexcept { claiming_ = false; }
 
-    /// Gives up the slot and makes the record that hands it over. No start is proved from here on.
-    /// Export the records of the slot after the call and send them to the successor before the
+    /// Gives up slots and makes the record that hands them over. No start is proved from here on.
+    /// Export the records of the slots after the call and send them to the successor before the
     /// append. If the append was not written, append the same record again.
-    /// \return none if the slot is not owned
-    std::optional<append_action> hand_over(unsigned slot, const incarnation_id& to);
+    /// \return none if no slot is owned
+    std::optional<append_action> hand_over(const std::vector<unsigned>& slots,
+                                           const incarnation_id& to);
 
     /// Notes that the records of the slot arrived from its owner at `at.epoch`. A handover that is
     /// read later then needs only the quarantine that the owner had left.
@@ -180,7 +185,8 @@
     void take(const applied_record& applied, time_point now, ownership_changes& changes);
     void take_claim(const claim_record& claim, const applied_record& applied, time_point now,
                     ownership_changes& changes);
-    void take_handover(const handover_record& handover, time_point now, ownership_changes& changes);
+    void take_handover(const slot_epoch& at, const incarnation_id& to, time_point now,
+                       ownership_changes& changes);
     void extend_lease(unsigned slot, time_point sent);
     void forget_settled();
     void extend_by_promises(time_point now);
--- a/modules/ownership/tests/domain_model.cpp
+++ b/modules/ownership/tests/domain_model.cpp
@@ -265,7 +265,7 @@
     from.owner->stop_claiming();
     for (const slot_epoch& at : from.owner->own_slots()) {
         const auto action =
-            from.owner->hand_over(at.slot, {to.name, to.issuer->incarnation()}).value();
+            from.owner->hand_over({at.slot}, {to.name, to.issuer->incarnation()}).value();
         if (chance(80)) {
             for (const auto& record : from.table.export_slot(static_cast<std::uint8_t>(at.slot)))
                 to.table.import(record, now_);
--- a/modules/ownership/tests/ownership_test.cpp
+++ b/modules/ownership/tests/ownership_test.cpp
@@ -73,7 +73,7 @@
 {
     for (const auto& record :
          {claim(3, 7, own), ownership_record{"x", renew_record{own, {{1, 2}, {63, 4}}}},
-          ownership_record{"y", handover_record{{5, 6}, own, other}}})
+          ownership_record{"y", handover_record{{{5, 6}, {7, 1}}, own, other}}})
         EXPECT_EQ(decode(encode(record)).value(), record);
     const std::string tail = R"("record_id":"r","host":"e","incarnation":"0000000000000011")";
     const auto claim_text = [&](const std::string& members) {
@@ -105,9 +105,9 @@
     EXPECT_EQ(effects({"r", renew_record{own, {{0, 1}, {1, 1}}}}), 1U);
     EXPECT_EQ(effects(claim(0, 2, other)), 1U);
     EXPECT_EQ(effects({"r", renew_record{own, {{0, 1}}}}), 0U);
-    EXPECT_EQ(effects({"r", handover_record{{0, 2}, own, third}}), 0U);
-    EXPECT_EQ(effects({"r", handover_record{{0, 2}, other, third}}), 1U);
-    EXPECT_EQ(effects({"r", handover_record{{0, 2}, other, third}}), 0U) << "duplicate record";
+    EXPECT_EQ(effects({"r", handover_record{{{0, 2}}, own, third}}), 0U);
+    EXPECT_EQ(effects({"r", handover_record{{{0, 2}}, other, third}}), 1U);
+    EXPECT_EQ(effects({"r", handover_record{{{0, 2}}, other, third}}), 0U) << "duplicate record";
     EXPECT_EQ(state.slot(0), (slot_state{3, third, true}));
     EXPECT_FALSE(state.apply(offset++, "not json").record);
     EXPECT_THAT(state.apply(0, encode(claim(0, 4, own))).slots, IsEmpty()) << "read before";
@@ -296,7 +296,7 @@
         const slot_epoch at{0, core.log().slot(0).epoch};
         if (received)
             core.on_handover_records(at, seconds{7}, now);
-        write({"h", handover_record{at, other, own}});
+        write({"h", handover_record{{at}, other, own}});
         read();
         EXPECT_EQ(verdict(), slot_verdict::unproved) << "no lease yet";
         poll();
@@ -310,12 +310,12 @@
 TEST_F(slot_owner_test, handover_ends_the_starts_at_once)
 {
     own_first();
-    ASSERT_TRUE(core.hand_over(0, third));
+    ASSERT_TRUE(core.hand_over({0}, third));
     EXPECT_EQ(verdict(), slot_verdict::unproved);
     EXPECT_EQ(core.proved_until(0), time_point::min());
     advance(seconds{15});
     EXPECT_THAT(core.poll(now).appends, IsEmpty()) << "no renewal either";
-    log.push_back(core.hand_over(0, third)->text);
+    log.push_back(core.hand_over({0}, third)->text);
     EXPECT_THAT(read().lost, testing::ElementsAre(0));
 }
 
--- a/modules/settings/settings_diff.cpp
+++ b/modules/settings/settings_diff.cpp
@@ -83,6 +83,18 @@
         out.push_back({std::move(path), std::move(a), std::move(b)});
 }
 
+/// Times of ids and their ownership, on which all processes must agree.
+constexpr std::pair<const char*, duration policy_settings::*> fixed_times[] = {
+    {"id_lifetime_ms", &policy_settings::id_lifetime},
+    {"lease_ms", &policy_settings::lease},
+    {"lease_renew_ms", &policy_settings::lease_renew},
+    {"claim_margin_ms", &policy_settings::claim_margin},
+    {"promise_ms", &policy_settings::promise},
+    {"promise_renew_ms", &policy_settings::promise_renew},
+    {"unreadable_log_limit_ms", &policy_settings::unreadable_log_limit},
+    {"new_seat_wait_ms", &policy_settings::new_seat_wait},
+};
+
 /// A field of the local file and how it is shown.
 struct host_field {
     const char* path;
@@ -125,6 +137,12 @@
     changes found;
     add_if_changed(found, "site", old_settings.site, new_settings.site);
     add_if_changed(found, "key_domains", old_settings.key_domains, new_settings.key_domains);
+    // Two hosts with different times would disagree about when a lease has lapsed.
+    for (const auto& [key, member] : fixed_times)
+        add_if_changed(found, std::string{"policy."} + key, to_ms(old_settings.policy.*member),
+                       to_ms(new_settings.policy.*member));
+    add_if_changed(found, "policy.clock_drift", old_settings.policy.clock_drift,
+                   new_settings.policy.clock_drift);
     std::map<std::string, const entry_host_settings*> old_hosts;
     for (const auto& host : old_settings.entry_hosts)
         old_hosts.emplace(host.name, &host);
