configlog: Parse the settings of a record once

The history, the check for fixed settings and the follower each parsed the same record again. The parsed settings of all sites are now kept with the record and shared.

--- a/modules/configlog/config_follower.cpp
+++ b/modules/configlog/config_follower.cpp
@@ -21,7 +21,7 @@
             return false;
         ++content_conflicts_;
     }
-    if (auto adopted = adopt(from_log->record); !adopted)
+    if (auto adopted = adopt(from_log->record, from_log->sites); !adopted)
         return unexpected(std::move(adopted.error()));
     return true;
 }
@@ -34,22 +34,32 @@
     if (record->version <= version())
         return refuse(configlog_errc::not_newer,
                       "version " + std::to_string(version()) + " is in force");
-    if (const auto errors = check_content(*record); !errors.empty())
-        return refuse(configlog_errc::content_invalid, settings::to_text(errors));
+    auto sites = parse_sites(*record);
+    if (!sites)
+        return refuse(configlog_errc::content_invalid, settings::to_text(sites.error()));
     if (current_) {
-        if (const auto changes = fixed_changes(current_->record, *record); !changes.empty())
+        const auto changes =
+            fixed_changes({current_->record, *current_->sites}, {*record, **sites});
+        if (!changes.empty())
             return refuse(configlog_errc::fixed_setting,
                           changes.front().key_path + " cannot change at run time");
     }
-    return adopt(*record);
+    return adopt(*record, std::move(*sites));
 }
 
-result<void, configlog_error> config_follower::adopt(const config_record& record)
+result<void, configlog_error> config_follower::adopt(const config_record& record,
+                                                     site_settings_ptr sites)
 {
-    auto parsed = settings_for(record, site_);
-    if (!parsed)
-        return refuse(configlog_errc::site_missing, settings::to_text(parsed.error()));
-    current_ = state{record, std::move(*parsed)};
+    if (!sites->contains(site_)) {
+        // A base that names the site serves a site without an overlay.
+        auto parsed = settings_for(record, site_);
+        if (!parsed)
+            return refuse(configlog_errc::site_missing, settings::to_text(parsed.error()));
+        auto more = std::make_shared<site_settings>(*sites);
+        more->emplace(site_, std::move(*parsed));
+        sites = std::move(more);
+    }
+    current_ = state{record, std::move(sites)};
     return {};
 }
 
--- a/modules/configlog/config_follower.h
+++ b/modules/configlog/config_follower.h
@@ -36,7 +36,7 @@
     bool ready() const noexcept { return current_.has_value(); }
 
     /// Settings in force. Call only if `ready`.
-    const settings::cluster_settings& settings() const { return current_->parsed; }
+    const settings::cluster_settings& settings() const { return current_->sites->at(site_); }
 
     /// Record for a peer that asks for it; empty if not `ready`.
     std::string record_data() const { return current_ ? encode(current_->record) : std::string{}; }
@@ -47,10 +47,10 @@
 private:
     struct state {
         config_record record;
-        settings::cluster_settings parsed;
+        site_settings_ptr sites;
     };
 
-    result<void, configlog_error> adopt(const config_record& record);
+    result<void, configlog_error> adopt(const config_record& record, site_settings_ptr sites);
 
     std::string site_;
     std::optional<state> current_;
--- a/modules/configlog/config_history.cpp
+++ b/modules/configlog/config_history.cpp
@@ -39,9 +39,10 @@
         entry.record_id = record->record_id;
         entry.publication_id = record->publication_id();
         entry.author = record->author;
-        entry.decision = decide(*record, entry.detail);
+        site_settings_ptr sites;
+        entry.decision = decide(*record, sites, entry.detail);
         if (entry.decision == verdict::in_force || entry.decision == verdict::republished)
-            accept(std::move(*record), offset, time);
+            accept(std::move(*record), std::move(sites), offset, time);
     }
     entries_.push_back(entry);
     if (entries_.size() > max_entries)
@@ -55,43 +56,57 @@
     shown_ = folded_;
 }
 
-verdict config_history::decide(const config_record& record, std::string& detail) const
+verdict config_history::decide(const config_record& record, site_settings_ptr& sites,
+                               std::string& detail) const
 {
     const auto current = folded_ ? folded_->record.version : 0;
     if (folded_ && !record.republication && record.record_id == folded_->record.publication_id())
         return verdict::duplicate;
     const bool known = folded_ && record.version == current;
     if (record.republication && (known || !gap_))
-        return known ? decide_republication(record) : verdict::stale;
+        return known ? decide_republication(record, sites) : verdict::stale;
     // From here on the record would raise the version.
     if (gap_ ? record.version <= current : record.based_on != current) {
         detail = "version " + std::to_string(current) + " is in force";
         return verdict::stale;
     }
-    if (const auto errors = check_content(record); !errors.empty()) {
-        detail = settings::to_text(errors);
+    auto parsed = parse_sites(record);
+    if (!parsed) {
+        detail = settings::to_text(parsed.error());
         return verdict::content_invalid;
     }
+    sites = std::move(*parsed);
     if (!folded_)
         return verdict::in_force;
-    if (const auto changes = fixed_changes(folded_->record, record); !changes.empty()) {
+    const auto changes = fixed_changes({folded_->record, *folded_->sites}, {record, *sites});
+    if (!changes.empty()) {
         detail = changes.front().key_path + " cannot change at run time";
         return verdict::fixed_setting;
     }
     return verdict::in_force;
 }
 
-verdict config_history::decide_republication(const config_record& record) const
+verdict config_history::decide_republication(const config_record& record,
+                                             site_settings_ptr& sites) const
 {
-    if (record.same_content(folded_->record))
+    if (record.same_content(folded_->record)) {
+        sites = folded_->sites;
         return verdict::republished;
+    }
     // After a gap the folded record may be a loser; a republication holds the winner's content.
-    return gap_ && check_content(record).empty() ? verdict::republished : verdict::content_differs;
+    if (!gap_)
+        return verdict::content_differs;
+    auto parsed = parse_sites(record);
+    if (!parsed)
+        return verdict::content_differs;
+    sites = std::move(*parsed);
+    return verdict::republished;
 }
 
-void config_history::accept(config_record record, std::uint64_t offset, wall_ms time)
+void config_history::accept(config_record record, site_settings_ptr sites, std::uint64_t offset,
+                            wall_ms time)
 {
-    folded_ = record_in_force{std::move(record), offset, time};
+    folded_ = record_in_force{std::move(record), std::move(sites), offset, time};
     if (!gap_)
         shown_ = folded_;
 }
--- a/modules/configlog/config_history.h
+++ b/modules/configlog/config_history.h
@@ -37,6 +37,7 @@
 /// Record in force and its newest copy in the log.
 struct record_in_force {
     config_record record;
+    site_settings_ptr sites;  ///< parsed settings of the record
     std::uint64_t offset = 0; ///< of the newest publication or republication
     wall_ms time = 0;         ///< append time of the newest copy
 };
@@ -80,9 +81,11 @@
     const std::deque<history_entry>& entries() const noexcept { return entries_; }
 
 private:
-    verdict decide(const config_record& record, std::string& detail) const;
-    verdict decide_republication(const config_record& record) const;
-    void accept(config_record record, std::uint64_t offset, wall_ms time);
+    /// \param sites takes the parsed settings of a record that is accepted
+    verdict decide(const config_record& record, site_settings_ptr& sites,
+                   std::string& detail) const;
+    verdict decide_republication(const config_record& record, site_settings_ptr& sites) const;
+    void accept(config_record record, site_settings_ptr sites, std::uint64_t offset, wall_ms time);
 
     std::optional<record_in_force> folded_;
     std::optional<record_in_force> shown_;
--- a/modules/configlog/config_publisher.cpp
+++ b/modules/configlog/config_publisher.cpp
@@ -24,10 +24,13 @@
     record.original_id.clear();
     record.based_on = expected;
     record.version = expected + 1;
-    if (const auto errors = check_content(record); !errors.empty())
-        return refuse(configlog_errc::content_invalid, settings::to_text(errors));
+    const auto sites = parse_sites(record);
+    if (!sites)
+        return refuse(configlog_errc::content_invalid, settings::to_text(sites.error()));
     if (const auto* current = history.in_force()) {
-        if (const auto changes = fixed_changes(current->record, record); !changes.empty())
+        const auto changes =
+            fixed_changes({current->record, *current->sites}, {record, **sites});
+        if (!changes.empty())
             return refuse(configlog_errc::fixed_setting,
                           changes.front().key_path + " cannot change at run time");
     }
--- a/modules/configlog/config_record.cpp
+++ b/modules/configlog/config_record.cpp
@@ -126,33 +126,45 @@
     return parsed;
 }
 
-settings::settings_errors check_content(const config_record& record)
+result<site_settings_ptr, settings::settings_errors> parse_sites(const config_record& record)
 {
     settings::settings_errors errors;
-    const auto add = [&errors](const auto& parsed) {
+    auto sites = std::make_shared<site_settings>();
+    const auto add = [&](auto parsed) {
         if (!parsed)
             errors.insert(errors.end(), parsed.error().begin(), parsed.error().end());
+        else
+            sites->insert_or_assign(parsed->site, std::move(*parsed));
     };
     for (const auto& site : sites_of(record))
         add(settings_for(record, site));
     if (record.overlays.empty())
         add(settings::parse_cluster(merged_document(record, "")));
-    return errors;
+    if (!errors.empty())
+        return unexpected(std::move(errors));
+    return sites;
+}
+
+settings::settings_errors check_content(const config_record& record)
+{
+    auto parsed = parse_sites(record);
+    return parsed ? settings::settings_errors{} : std::move(parsed.error());
 }
 
-std::vector<settings::setting_change> fixed_changes(const config_record& old_record,
-                                                    const config_record& new_record)
+std::vector<settings::setting_change> fixed_changes(const parsed_record& before,
+                                                    const parsed_record& after)
 {
     std::vector<settings::setting_change> found;
-    auto sites = sites_of(new_record);
-    if (sites.empty())
-        sites.push_back(new_record.settings.value("site", ""));
-    for (const auto& site : sites) {
-        const auto before = settings_for(old_record, site);
-        const auto after = settings_for(new_record, site);
-        if (!before || !after)
+    for (const auto& [site, now] : after.sites) {
+        const auto known = before.sites.find(site);
+        // A record without an overlay for the site may still name the site in its base.
+        auto other = known == before.sites.end()
+                         ? settings_for(before.record, site)
+                         : result<settings::cluster_settings, settings::settings_errors>{};
+        const auto* old = known == before.sites.end() ? (other ? &*other : nullptr) : &known->second;
+        if (old == nullptr)
             continue;
-        const auto changes = settings::changes_needing_restart(*before, *after);
+        const auto changes = settings::changes_needing_restart(*old, now);
         found.insert(found.end(), changes.begin(), changes.end());
     }
     return found;
--- a/modules/configlog/config_record.h
+++ b/modules/configlog/config_record.h
@@ -3,6 +3,8 @@
 #include <base/enum_names.h>
 #include <base/result.h>
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <settings/settings.h>
 #include <string>
@@ -61,13 +63,28 @@
 result<settings::cluster_settings, settings::settings_errors>
 settings_for(const config_record& record, const std::string& site);
 
-/// Faults of the settings of all sites; the base alone is checked if there is no overlay. The
-/// result depends only on the record, so all readers come to the same verdict.
+/// Settings of the sites of a record, by site name. Parsing takes tens of milliseconds at the design
+/// size, so the result is kept with the record and shared.
+using site_settings = std::map<std::string, settings::cluster_settings>;
+using site_settings_ptr = std::shared_ptr<const site_settings>;
+
+/// Parses the settings of all sites; the base alone if there is no overlay. The result depends only
+/// on the record, so all readers come to the same verdict.
+/// \return the settings, or the faults of all sites
+result<site_settings_ptr, settings::settings_errors> parse_sites(const config_record& record);
+
+/// Faults of the settings of all sites.
 settings::settings_errors check_content(const config_record& record);
 
-/// Changes of fixed settings in the sites that both records hold. Both must pass `check_content`.
-std::vector<settings::setting_change> fixed_changes(const config_record& old_record,
-                                                    const config_record& new_record);
+/// A record that passed the check and its settings.
+struct parsed_record {
+    const config_record& record;
+    const site_settings& sites; ///< of `parse_sites`
+};
+
+/// Changes of fixed settings in the sites that both records hold.
+std::vector<settings::setting_change> fixed_changes(const parsed_record& before,
+                                                    const parsed_record& after);
 
 } // namespace chivewharf::configlog
 
