--- a/modules/dispatch/entry_host.cpp
+++ b/modules/dispatch/entry_host.cpp
@@ -85,11 +85,18 @@
 
 void entry_host::use_initial_settings(clock_reading now)
 {
-    in_force_ = true;
+    set_ready();
     ownership_.apply(*settings_, time_point::min());
     after_event(now);
 }
 
+void entry_host::set_ready()
+{
+    in_force_ = true;
+    router_.set_ready();
+    spills_.set_ready();
+}
+
 void entry_host::put_in_force(config_change change, clock_reading now)
 {
     log_line{"config_in_force"}.add("version", change.version).write();
@@ -101,7 +108,7 @@
         may_claim_from = now.boot + wait;
     else if (change.seat_since)
         may_claim_from = now.boot + wait - milliseconds{now.wall - *change.seat_since};
-    in_force_ = true;
+    set_ready();
     apply(std::make_shared<const settings::cluster_settings>(std::move(change.settings)), now,
           may_claim_from);
     if (on_applied_)
--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -126,6 +126,7 @@
     static submission::id_issuer make_issuer(const identity& self, duration id_lifetime);
     void apply(std::shared_ptr<const settings::cluster_settings> settings, clock_reading now,
                time_point may_claim_from);
+    void set_ready();
     void put_in_force(config_change change, clock_reading now);
     void tell_version(clock_reading now);
     void fail_lost_slots(const std::vector<unsigned>& lost, time_point now);
--- a/modules/dispatch/request_router.cpp
+++ b/modules/dispatch/request_router.cpp
@@ -25,7 +25,8 @@
                                const membership::member_table& members, action_list& actions,
                                metrics::registry& metrics)
     : self_{std::move(self)}, service_{service}, ownership_{ownership}, members_{members},
-      actions_{actions}, next_remote_waiter_{first_remote_waiter},
+      actions_{actions}, next_request_{self_.incarnation},
+      next_remote_waiter_{first_remote_waiter},
       refusals_{metrics.reasons("chivewharf_refusals_total")}, forwards_{metrics.counter(
                                                                    "chivewharf_forwards_total")},
       repeats_{metrics.counter("chivewharf_forwards_repeated_total")},
@@ -136,9 +137,10 @@
         pending.home_domain = id.home_domain(asked.customer, settings_->key_domains);
         pending.slot = id.slot(asked.customer);
     }
-    const auto wait = asked.wait.value_or(longest_forward);
+    const auto wait = asked.wait.value_or(longest_forward) + forward_margin;
     const bool linked = links_up_.contains(pending.host);
-    pending.expires = now + (linked ? wait + forward_margin : connect_patience);
+    pending.expires = now + (linked ? wait : connect_patience);
+    pending.patience = linked ? duration{0} : wait;
     pending.message = {number,
                        std::move(asked.customer),
                        std::move(asked.id),
@@ -156,6 +158,10 @@
 {
     const auto who = next_remote_waiter_++;
     remote_waiters_.emplace(who, remote_waiter{from, asked.request_id});
+    if (!ready_) {
+        refuse(who, reason::not_ready, work_state::may_have_run, asked.submission_id);
+        return;
+    }
     const auto id = submission::submission_id::parse(asked.submission_id);
     if (!id) {
         refuse(who, reason::invalid_id, work_state::not_run, asked.submission_id);
@@ -193,7 +199,9 @@
     }
     auto& pending = found->second;
     if (!answer.owner.empty()) {
-        slot_hints_[{pending.home_domain, pending.slot}] = answer.owner;
+        // A peer of this domain that reads the log ahead may name this host itself.
+        if (answer.owner != self_.host && pending.home_domain != self_.domain)
+            slot_hints_[{pending.home_domain, pending.slot}] = answer.owner;
         redirect(answer.request_id, answer.owner);
         return;
     }
@@ -207,7 +215,7 @@
 void request_router::redirect(std::uint64_t request_id, const std::string& host)
 {
     auto& pending = pending_.at(request_id);
-    if (pending.redirected) {
+    if (pending.redirected || host == self_.host) {
         const auto gone = std::move(pending);
         expiries_.erase({gone.expires, request_id});
         pending_of_waiter_.erase(gone.who);
@@ -229,10 +237,8 @@
         if (pending.host != host)
             continue;
         expiries_.erase({pending.expires, number});
-        const duration wait = pending.message.wait_ms == wire::no_wait
-                                  ? longest_forward
-                                  : duration{milliseconds{pending.message.wait_ms}};
-        pending.expires += wait + forward_margin;
+        // Counted once: a link that comes and goes does not prolong the caller's wait.
+        pending.expires += std::exchange(pending.patience, duration{0});
         expiries_.emplace(pending.expires, number);
         ++repeats_;
         actions_.add(send_peer{host, pending.message});
--- a/modules/dispatch/request_router.h
+++ b/modules/dispatch/request_router.h
@@ -41,6 +41,9 @@
         settings_ = std::move(settings);
     }
 
+    /// A configuration is in force; before that requests of peers are refused with `not_ready`.
+    void set_ready() noexcept { ready_ = true; }
+
     /// A request from a caller of this host.
     void request(caller_request asked, time_point now);
 
@@ -89,6 +92,7 @@
         unsigned slot = 0;
         wire::forward message;
         time_point expires;
+        duration patience{}; ///< once a link is up
         bool redirected = false;
     };
     struct remote_waiter {
@@ -120,7 +124,10 @@
     std::unordered_map<submission::waiter, remote_waiter> remote_waiters_;
     std::map<std::pair<std::string, unsigned>, std::string> slot_hints_;
     std::set<std::string> links_up_;
-    std::uint64_t next_request_ = 1;
+    bool ready_ = false;
+    /// Starts at the incarnation, so that an answer to an earlier process of this host matches
+    /// nothing.
+    std::uint64_t next_request_;
     submission::waiter next_remote_waiter_;
     metrics::reason_counters& refusals_;
     std::uint64_t& forwards_;
--- a/modules/dispatch/spill_service.cpp
+++ b/modules/dispatch/spill_service.cpp
@@ -52,8 +52,13 @@
     request.deadline = deadline;
     request.tasks.push_back({std::move(task.kind), {}, std::move(task.body)});
     const auto key = request.key;
+    // A second copy must not be refused: the sender would take the task as not run.
+    if (table_.holds(key))
+        return;
     auto why = draining_ ? reason::draining : reason::customer_removed;
-    if (customer && !draining_)
+    if (!ready_)
+        why = reason::not_ready;
+    else if (customer && !draining_)
         why = dispatcher_.check({key, *customer, task.service, deadline, &request.tasks, true}, now)
                   .why;
     if (why == reason::none &&
--- a/modules/dispatch/spill_service.h
+++ b/modules/dispatch/spill_service.h
@@ -22,6 +22,9 @@
     void apply(const customer_directory& customers) { customers_ = &customers; }
     void begin_drain() noexcept { draining_ = true; }
 
+    /// A configuration is in force; before that every task is refused.
+    void set_ready() noexcept { ready_ = true; }
+
     void on_task(const std::string& from, std::uint64_t incarnation, wire::spill_task task,
                  time_point now);
 
@@ -47,6 +50,7 @@
     std::uint64_t& received_;
     std::uint64_t& refused_;
     bool draining_ = false;
+    bool ready_ = false;
 };
 
 } // namespace chivewharf::dispatch
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -17,6 +17,7 @@
     sched::fair_queue queue;
     sched::admission admission;
     sched::retry_budget retries;
+    time_point last_admitted{};
 };
 
 /// A submission that has queued or sent tasks.
@@ -49,6 +50,11 @@
 /// regions, and a shorter wait is not worth the two messages.
 constexpr duration spill_wait = milliseconds{100};
 
+/// After this long without an admission a service with an empty queue takes one submission that its
+/// estimates would refuse. Estimates are corrected only by tasks that run, so a few slow answers
+/// would otherwise shut out a customer's short deadlines for ever.
+constexpr duration estimate_patience = seconds{5};
+
 /// The answer of a spilled task may arrive this long after its deadline.
 constexpr duration spill_margin = milliseconds{200};
 
@@ -102,7 +108,8 @@
       late_results_{metrics.counter("chivewharf_late_results_total")},
       spills_{metrics.counter("chivewharf_spills_sent_total")},
       order_{std::make_unique<sched::shortest_remaining_work>()}, sharing_{pool_, self.host,
-                                                                           self.incarnation}
+                                                                           self.incarnation},
+      next_call_{self.incarnation}
 {
 }
 
@@ -230,7 +237,15 @@
     if (pool_.capacity(wanted.service).workers == 0)
         return {reason::no_upstream, {}, milliseconds{500}};
     refresh_capacity(*service);
-    return service->admission.decide(request, service->queue, limits_, now, random_);
+    auto verdict = service->admission.decide(request, service->queue, limits_, now, random_);
+    const bool by_estimate =
+        verdict.why == reason::predicted_wait || verdict.why == reason::deadline_unreachable;
+    if (by_estimate && service->queue.queued_tasks() == 0 &&
+        now - service->last_admitted >= estimate_patience)
+        verdict = {};
+    if (verdict.why == reason::none)
+        service->last_admitted = now;
+    return verdict;
 }
 
 void task_dispatcher::enqueue(const job_request& request, time_point now)
@@ -258,8 +273,12 @@
 
 void task_dispatcher::refresh_capacity(service_state& service)
 {
-    const auto total = pool_.capacity(service.config.name).total;
-    service.queue.set_capacity(static_cast<std::uint32_t>(std::lround(total)));
+    const auto capacity = pool_.capacity(service.config.name);
+    // A host that is home to no worker borrows slots, but only for a backlog. Without any capacity
+    // the admission would refuse everything and no backlog would form.
+    const auto least = capacity.workers > 0 ? 1U : 0U;
+    service.queue.set_capacity(
+        std::max(least, static_cast<std::uint32_t>(std::lround(capacity.total))));
 }
 
 void task_dispatcher::pump_service(service_state& service, clock_reading now)
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -198,7 +198,9 @@
     std::unordered_map<call_id, call> calls_;
     std::map<sched::customer_id, double> usage_;
     std::set<sched::customer_id> known_customers_;
-    call_id next_call_ = 1;
+    /// Starts at the incarnation, so that the answer to a task that an earlier process of this host
+    /// spilled matches nothing.
+    call_id next_call_;
 };
 
 } // namespace chivewharf::dispatch
