--- a/modules/dispatch/entry_host.h
+++ b/modules/dispatch/entry_host.h
@@ -133,6 +133,7 @@
     static submission::id_issuer make_issuer(const identity& self, duration id_lifetime);
     void apply(std::shared_ptr<const settings::cluster_settings> settings, clock_reading now,
                time_point may_claim_from);
+    void set_ready();
     void tell_version(clock_reading now);
     std::vector<std::string> seats_of_domain() const;
     void fail_lost_slots(const std::vector<unsigned>& lost, time_point now);
