--- a/bench/policy/cluster_sim.cpp
+++ b/bench/policy/cluster_sim.cpp
@@ -308,7 +308,8 @@
         [&](dispatch::send_task& task) { send_to_runner(host, std::move(task)); },
         [&](dispatch::abort_call& /*call*/) {}, // the service is not idempotent
         [&](dispatch::send_peer& message) { deliver(host, std::move(message)); },
-        [&](dispatch::append_record& /*record*/) {}, // there is no log
+        [](dispatch::drop_link& /*link*/) {},       // links do not go silent here
+        [](dispatch::append_record& /*record*/) {}, // there is no log
     };
     std::visit(handle, one);
 }
--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -27,24 +27,6 @@
     return out;
 }
 
-ownership::ownership_options options_of(const settings::policy_settings& policy)
-{
-    ownership::ownership_options options;
-    options.lease = policy.lease;
-    options.renew_interval = policy.lease_renew;
-    options.renew_retry = policy.lease_renew / 5;
-    options.clock_drift = policy.clock_drift;
-    options.claim_margin = policy.claim_margin;
-    options.id_lifetime = policy.id_lifetime;
-    options.promise_hold = policy.promise;
-    options.promise_interval = policy.promise_renew;
-    // One renewal was missed, and five ninths of the lease remain to collect promises.
-    options.promise_after = policy.lease * 4 / 9;
-    options.max_log_silence = policy.unreadable_log_limit;
-    options.new_seat_wait = policy.new_seat_wait;
-    return options;
-}
-
 } // namespace
 
 ownership::ownership_options ownership_service::options_of(const settings::policy_settings& policy)
--- a/modules/dispatch/tests/rig.cpp
+++ b/modules/dispatch/tests/rig.cpp
@@ -307,6 +307,7 @@
                            say(of.name + " -> " + p.host + ": " + text_of(p.message) +
                                (linked(of.name, p.host) ? "" : " (no link)"));
                    },
+                   [&](const drop_link& d) { say(of.name + " drops its link to " + d.host); },
                    [&](const append_record& a) {
                        const auto type = json::parse(a.text).value("type", "");
                        if (type == "claim") {
@@ -340,6 +341,7 @@
                         mail_.push_back({of.name, of.incarnation, p.host, current->second,
                                          std::move(p.message)});
                 },
+                [](drop_link& /*d*/) {}, // the script decides when a link is replaced
                 [&](append_record& a) {
                     using ownership::append_outcome;
                     auto outcome = append_outcome::not_written;
--- a/modules/operator_cli/config_commands.cpp
+++ b/modules/operator_cli/config_commands.cpp
@@ -144,7 +144,12 @@
     auto candidate = current->record;
     candidate.settings = files->base;
     candidate.overlays = files->overlays;
-    const auto fixed = configlog::fixed_changes(current->record, candidate);
+    const auto before = configlog::parse_sites(current->record);
+    const auto after = configlog::parse_sites(candidate);
+    std::vector<settings::setting_change> fixed;
+    // Faulty files were refused when they were loaded; the record in force has passed the check.
+    if (before && after)
+        fixed = configlog::fixed_changes({current->record, **before}, {candidate, **after});
 
     auto changes = json::array();
     for (const auto& one : settings::diff(current->record.settings, files->base))
