runtime: Compute the default response limit in std::size_t

clang-tidy reports bugprone-implicit-widening-of-multiplication-result for the multiplication in int in every file that includes http_client.h.

--- a/modules/runtime/http_client.h
+++ b/modules/runtime/http_client.h
@@ -42,7 +42,7 @@
     std::string body;
     std::string content_type = "application/json";
     duration timeout = seconds{1};
-    std::size_t max_response_bytes = 1024 * 1024;
+    std::size_t max_response_bytes = std::size_t{1024} * 1024;
 };
 
 /// What came of a call. Status, body and the header fields hold only when it was answered.
