operator_cli: Say truthfully whether an undecided record may be in the log

A publication that ran out of time after a timed-out append and a read to the end said that its record is not in the log, although the append could still arrive. It now says so only if no append left this process, and sends no append once the time is up. The linter's findings in the module are fixed as well.

--- a/modules/operator_cli/command_line.cpp
+++ b/modules/operator_cli/command_line.cpp
@@ -58,6 +58,7 @@
 {
     const auto options = all_options();
     std::vector<option> table;
+    table.reserve(options.size() + 1);
     for (const auto* one : options)
         table.push_back({one->name, one->argument != nullptr ? required_argument : no_argument,
                          nullptr, static_cast<int>(table.size()) + 256});
@@ -66,6 +67,7 @@
     std::vector<std::string> copies{"chivewharfctl"};
     copies.insert(copies.end(), words.begin(), words.end());
     std::vector<char*> arguments;
+    arguments.reserve(copies.size() + 1);
     for (auto& one : copies)
         arguments.push_back(one.data());
     arguments.push_back(nullptr);
--- a/modules/operator_cli/config_commands.cpp
+++ b/modules/operator_cli/config_commands.cpp
@@ -48,7 +48,7 @@
         return unexpected(address.error());
     configlog::config_history read;
     platform_log log{*address, self.deadline};
-    if (const auto done = log.read_to_end(read); !done)
+    if (auto done = log.read_to_end(read); !done)
         return unexpected(done.error());
     return read;
 }
@@ -136,7 +136,7 @@
         return unexpected(address.error());
     configlog::config_history read;
     platform_log log{*address, self.deadline};
-    if (const auto done = log.read_to_end(read); !done)
+    if (auto done = log.read_to_end(read); !done)
         return done;
     const auto* current = read.in_force();
     if (current == nullptr)
@@ -192,7 +192,7 @@
     record.overlays = files->overlays;
     configlog::config_history read;
     platform_log log{*address, self.deadline};
-    if (const auto done = log.publish(std::move(record), *self.line.expect, read); !done)
+    if (auto done = log.publish(std::move(record), *self.line.expect, read); !done)
         return done;
     const auto version = *self.line.expect + 1;
     if (self.line.json)
--- a/modules/operator_cli/host_commands.cpp
+++ b/modules/operator_cli/host_commands.cpp
@@ -262,7 +262,7 @@
                        cell(one, "members")});
         table.write(self.out);
     }
-    if (const auto faults = faults_of(answers); !faults)
+    if (auto faults = faults_of(answers); !faults)
         return faults;
     if (!published.fault.empty())
         return unexpected(
@@ -310,7 +310,7 @@
                        cell(one, "deadline_in_ms")});
         table.write(self.out);
     }
-    if (const auto faults = faults_of(answers); !faults)
+    if (auto faults = faults_of(answers); !faults)
         return faults;
     if (holders.empty())
         return unexpected(
@@ -350,7 +350,7 @@
                                                : "no backlog"});
         table.write(self.out);
     }
-    if (const auto faults = faults_of(answers); !faults)
+    if (auto faults = faults_of(answers); !faults)
         return faults;
     return faults_of(hosts);
 }
--- a/modules/operator_cli/platform_log.cpp
+++ b/modules/operator_cli/platform_log.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t read_limit = 100;
-constexpr std::size_t max_read_bytes = 128U * 1024 * 1024;
+constexpr std::size_t max_read_bytes = std::size_t{128} * 1024 * 1024;
 constexpr duration first_backoff = milliseconds{50};
 constexpr duration longest_backoff = seconds{1};
 constexpr duration call_timeout = seconds{1}; // deadline of platform calls on the design page
@@ -80,6 +80,18 @@
     return {status, "not published: " + error.message};
 }
 
+/// The time is up. An append that was sent may even arrive later, so only one that never left is
+/// known not to be in the log.
+operator_cli_error undecided(std::string message, const std::string& record_id, bool may_be_written)
+{
+    message += "; record ";
+    message += record_id;
+    message += may_be_written ? " may be in the log: the command history shows it once the log can "
+                                "be read"
+                              : " is not in the log";
+    return {exit_status::unreachable, std::move(message)};
+}
+
 bool decided(const configlog::config_publisher& publisher)
 {
     return publisher.state() != publish_state::appending &&
@@ -164,7 +176,7 @@
 cli_result<void> platform_log::publish(configlog::config_record record, std::int64_t expected,
                                        configlog::config_history& history)
 {
-    if (const auto read = read_to_end(history); !read)
+    if (auto read = read_to_end(history); !read)
         return read;
     configlog::config_publisher publisher;
     const auto record_id = record.record_id;
@@ -180,22 +192,15 @@
             may_be_written = may_be_written || outcome != append_outcome::not_written;
             publisher.on_append(outcome);
         }
-        if (const auto read = read_to_end(history, &publisher); !read) {
-            const std::string state = may_be_written ? "may be" : "is not";
-            return unexpected(operator_cli_error{
-                read.error().code, read.error().message + "; record " + record_id + ' ' + state +
-                                       " in the log. The command history shows it once the log "
-                                       "can be read"});
+        if (auto read = read_to_end(history, &publisher); !read) {
+            return unexpected(undecided(read.error().message, record_id, may_be_written));
         }
         data = publisher.retry();
         if (!decided(publisher)) {
+            back_off(failures++);
             if (calls_.time_is_up())
                 return unexpected(
-                    operator_cli_error{exit_status::unreachable,
-                                       "the platform took no append in time; record " + record_id +
-                                           " is not in the "
-                                           "log"});
-            back_off(failures++);
+                    undecided("the platform took no append in time", record_id, may_be_written));
         }
     }
     return result_of(publisher);
--- a/modules/operator_cli/tests/racing_publishers_test.cpp
+++ b/modules/operator_cli/tests/racing_publishers_test.cpp
@@ -118,7 +118,7 @@
         return counts;
     }
 
-    json run_ctl(std::vector<std::string> arguments)
+    json run_ctl(const std::vector<std::string>& arguments)
     {
         const auto output = folder_.file("ctl.out");
         const process ctl{"chivewharfctl", arguments, output};
