operator_cli: Use GRegex in the session test

std::regex of GCC 12 raises -Wmaybe-uninitialized under the sanitize preset, so the test program did not build there.

--- a/modules/operator_cli/tests/session_test.cpp
+++ b/modules/operator_cli/tests/session_test.cpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <operator_cli/program.h>
-#include <regex>
 #include <runtime/socket_address.h>
 #include <sstream>
 
@@ -72,11 +71,25 @@
                 text.replace(at, value.size(), padded(name, value, text.substr(at + value.size())));
         }
         const std::string time = R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ)";
-        text = std::regex_replace(text, std::regex{time + "  "}, "{time}" + std::string(16, ' '));
-        text = std::regex_replace(text, std::regex{time}, "{time}");
-        text = std::regex_replace(text, std::regex{R"(("(time|deadline_in)_ms":)\d+)"}, "$1{ms}");
-        text = std::regex_replace(text, std::regex{R"((plugdesk +\d+ +)\d+\n)"}, "$1{ms}\n");
-        return std::regex_replace(text, std::regex{"ctl-[0-9a-f]{32}"}, "{id}");
+        text = replaced(text, time + "  ", "{time}" + std::string(16, ' '));
+        text = replaced(text, time, "{time}");
+        text = replaced(text, R"(("(time|deadline_in)_ms":)\d+)", R"(\1{ms})");
+        text = replaced(text, R"((plugdesk +\d+ +)\d+\n)", "\\1{ms}\n");
+        return replaced(text, "ctl-[0-9a-f]{32}", "{id}");
+    }
+
+    static std::string replaced(const std::string& text, const std::string& pattern,
+                                const std::string& by)
+    {
+        // std::regex of GCC 12 does not compile without warnings under the sanitizers.
+        GRegex* regex =
+            g_regex_new(pattern.c_str(), GRegexCompileFlags{}, GRegexMatchFlags{}, nullptr);
+        char* result =
+            g_regex_replace(regex, text.c_str(), -1, 0, by.c_str(), GRegexMatchFlags{}, nullptr);
+        std::string copy{result};
+        g_free(result);
+        g_regex_unref(regex);
+        return copy;
     }
 
     /// Name that keeps the columns of a table in line.
