--- a/modules/dispatch/submission_decoder.cpp
+++ b/modules/dispatch/submission_decoder.cpp
@@ -36,7 +36,8 @@
     bool boolean(bool value) { return scalar(value ? "true" : "false", "a boolean"); }
     bool number_integer(number_integer_t value)
     {
-        return number(static_cast<double>(value), std::to_string(value));
+        // The parser passes zero as a signed number only for "-0".
+        return number(static_cast<double>(value), value == 0 ? "-0" : std::to_string(value));
     }
     bool number_unsigned(number_unsigned_t value)
     {
