--- a/testing/standin_caller/connection.cpp
+++ b/testing/standin_caller/connection.cpp
@@ -1,8 +1,8 @@
 #include "connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
-#include <algorithm>
 #include <glib-unix.h>
 #include <iostream>
 #include <netinet/in.h>
--- a/testing/standin_caller/load.cpp
+++ b/testing/standin_caller/load.cpp
@@ -93,23 +93,22 @@
     const auto path = "/v1/ids?count=" + std::to_string(count);
     const auto fields = "Authorization: Bearer " + options_.token + "\r\n";
     ++under_way_;
-    one.link->send(
-        request_text("POST", path, one.link->target(), fields, {}),
-        [this, &one](std::optional<raw_response> response) {
-            --under_way_;
-            if (one.first && response)
-                summary_.first_response(boot_clock::now() - one.link->opened_at());
-            one.first = one.first && !response;
-            const auto answer =
-                response ? json::parse(response->body, nullptr, false) : json(json::value_t::null);
-            if (response && response->status == 200) {
-                for (const auto& id : answer.at("ids"))
-                    one.ids.push_back(id);
-                feed(one);
-                return;
-            }
-            summary_.count("no_ids");
-        });
+    one.link->send(request_text("POST", path, one.link->target(), fields, {}),
+                   [this, &one](std::optional<raw_response> response) {
+                       --under_way_;
+                       if (one.first && response)
+                           summary_.first_response(boot_clock::now() - one.link->opened_at());
+                       one.first = one.first && !response;
+                       const auto answer = response ? json::parse(response->body, nullptr, false)
+                                                    : json(json::value_t::null);
+                       if (response && response->status == 200) {
+                           for (const auto& id : answer.at("ids"))
+                               one.ids.push_back(id);
+                           feed(one);
+                           return;
+                       }
+                       summary_.count("no_ids");
+                   });
 }
 
 std::string load::make_body()
@@ -133,8 +132,8 @@
     ++begun_;
     submission_record record;
     if (options_.direct || options_.ids == id_source::own) {
-        record.id = options_.id_prefix + std::to_string(options_.seed) + '-' +
-                    std::to_string(++own_ids_);
+        record.id =
+            options_.id_prefix + std::to_string(options_.seed) + '-' + std::to_string(++own_ids_);
     }
     else {
         record.id = std::move(one.ids.front());
@@ -176,8 +175,8 @@
     const auto token = "Authorization: Bearer " + options_.token + "\r\n";
     if (todo.what == operation::cancel)
         return request_text("DELETE", "/v1/submissions/" + id, host, token, {});
-    return request_text("POST", "/v1/submissions", host,
-                        token + "Idempotency-Key: " + id + "\r\n", body);
+    return request_text("POST", "/v1/submissions", host, token + "Idempotency-Key: " + id + "\r\n",
+                        body);
 }
 
 void load::run(client& one, planned todo)
@@ -228,17 +227,19 @@
     if (!options_.direct)
         outcome = answer.is_object() ? answer.value("outcome", "unreadable") : "unreadable";
     const auto reason = answer.is_object() ? answer.value("reason", "") : std::string{};
-    summary_.count(todo.what == operation::cancel ? "cancel_" + outcome
+    summary_.count(todo.what == operation::cancel       ? "cancel_" + outcome
                    : reason.empty() || reason == "none" ? outcome
                                                         : outcome + ':' + reason);
     ++record.answers;
     if (!options_.direct && outcome != "unreadable") {
-        const bool whole = outcome != "complete" ||
-                           answer.value("tasks", json::array()).size() == record.tasks;
+        const bool whole =
+            outcome != "complete" || answer.value("tasks", json::array()).size() == record.tasks;
         record.wrong_answer =
             record.wrong_answer || answer.value("id", record.id) != record.id || !whole;
     }
-    const auto ends = [](const std::string& text) { return text == "complete" || text == "failed"; };
+    const auto ends = [](const std::string& text) {
+        return text == "complete" || text == "failed";
+    };
     if (ends(record.outcome)) {
         record.conflicting = record.conflicting || (ends(outcome) && outcome != record.outcome);
         return;
--- a/testing/standin_caller/load.h
+++ b/testing/standin_caller/load.h
@@ -33,8 +33,8 @@
     double least_run_ms = 0;
     double most_run_ms = 0;
     double deadline_ms = 2000;
-    double resubmit = 0; ///< probability that a submission is sent a second time
-    double cancel = 0;   ///< probability that a submission is cancelled
+    double resubmit = 0;    ///< probability that a submission is sent a second time
+    double cancel = 0;      ///< probability that a submission is cancelled
     unsigned max_sends = 3; ///< of one submission whose connections end without an answer
     std::uint64_t seed = 1;
 };
