--- a/modules/runtime/supervisor.cpp
+++ b/modules/runtime/supervisor.cpp
@@ -1,7 +1,6 @@
 #include <runtime/supervisor.h>
 
 #include <base/log_line.h>
-#include <ranges>
 
 namespace chivewharf::runtime {
 
@@ -32,7 +31,7 @@
 result<void, runtime_error> supervisor::start_child(child& one)
 {
     auto started =
-        one.part->start([this, &one](runtime_error error) { child_failed(one, std::move(error)); });
+        one.part->start([this, &one](const runtime_error& error) { child_failed(one, error); });
     one.running = started.has_value();
     log_line{"part_started"}
         .add("part", one.part->name())
@@ -45,7 +44,8 @@
 void supervisor::stop()
 {
     stopped_ = true;
-    for (auto& one : children_ | std::views::reverse) {
+    for (auto at = children_.rbegin(); at != children_.rend(); ++at) {
+        const auto& one = *at;
         one->backoff.cancel();
         if (!one->running)
             continue;
@@ -65,7 +65,7 @@
     return true;
 }
 
-void supervisor::child_failed(child& one, runtime_error error)
+void supervisor::child_failed(child& one, const runtime_error& error)
 {
     // A part may report a failure that happened while it was being stopped.
     if (stopped_)
--- a/modules/runtime/supervisor.h
+++ b/modules/runtime/supervisor.h
@@ -62,7 +62,7 @@
     };
 
     result<void, runtime_error> start_child(child& one);
-    void child_failed(child& one, runtime_error error);
+    void child_failed(child& one, const runtime_error& error);
     void restart(child& one);
     bool may_restart(time_point now);
 
