--- a/modules/runtime/supervisor.h
+++ b/modules/runtime/supervisor.h
@@ -62,7 +62,7 @@
     };
 
     result<void, runtime_error> start_child(child& one);
-    void child_failed(child& one, runtime_error error);
+    void child_failed(child& one, const runtime_error& error);
     void restart(child& one);
     bool may_restart(time_point now);
 
@@ -71,6 +71,7 @@
     std::vector<std::unique_ptr<child>> children_;
     std::function<void(runtime_error)> failed_;
     std::deque<time_point> restarts_;
+    bool stopped_ = true;
 };
 
 } // namespace chivewharf::runtime
