--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -175,7 +175,7 @@
     std::map<std::uint64_t, sent_request> sent_;
     std::map<std::pair<std::string, std::string>, peer_record> peers_; // host, service
     std::map<std::string, std::uint32_t, std::less<>> backlog_;
-    std::map<std::string, leave_notice> leaving_; // by worker
+    std::map<std::string, leave_notice> leaving_;              // by worker
     std::map<std::string, peer_record, std::less<>> searches_; // by service
     std::uint64_t next_number_;                                // of requests and grants
     sharing_counters counters_;
--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -12,8 +12,8 @@
 constexpr wall_ms use_issued_within = 3000;
 constexpr int max_tries = 8;
 constexpr int final_rounds = 5;
-constexpr duration request_timeout = seconds{9};
-constexpr int deadline_ms = 5000;
+constexpr duration request_timeout = seconds{6};
+constexpr int deadline_ms = 4000;
 
 const std::set<std::string> final_refusals{
     "owner_gone",        "id_expired", "id_body_mismatch", "id_not_issued",
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -395,6 +395,21 @@
     std::printf("\n%zu submissions by outcome and reason:\n", seen.records->size());
     for (const auto& [text, count] : outcomes)
         std::printf("  %-50s %7d\n", text.c_str(), count);
+    std::map<std::string, int> unanswered;
+    int examples = 0;
+    for (const auto& record : *seen.records) {
+        for (const auto& one : record.replies) {
+            if (one.answered())
+                continue;
+            ++unanswered[std::string{to_name(one.how)} + ' ' + one.operation];
+            if (one.how == runtime::call_outcome::timed_out && ++examples <= 12)
+                std::printf("  timed out: %s %s entry-%d sent %lld\n", one.operation.c_str(),
+                            record.id.c_str(), one.entry + 1, static_cast<long long>(one.sent));
+        }
+    }
+    std::printf("requests without an answer:\n");
+    for (const auto& [text, count] : unanswered)
+        std::printf("  %-50s %7d\n", text.c_str(), count);
     std::size_t starts = 0;
     std::size_t repeated = 0;
     for (const auto& [task, one] : seen.ledger) {
--- a/testing/soak/faults.cpp
+++ b/testing/soak/faults.cpp
@@ -22,23 +22,23 @@
 
 const std::map<std::string, faults::kind> faults::kinds{
     {"kill", {1500, &faults::kill, &faults::restart}},
-    {"pause", {lease_ms * 3 / 2, &faults::pause, &faults::resume}},
+    {"pause", {lease_ms * 4 / 3, &faults::pause, &faults::resume}},
     {"planned stop", {0, &faults::stop, &faults::wait_for_stop}},
-    {"silent peers", {2500, &faults::silence_peers, &faults::finish}},
+    {"silent peers", {2000, &faults::silence_peers, &faults::finish}},
     {"mute peers", {3000, &faults::mute_peers, &faults::unmute}},
     {"silent runners", {2000, &faults::silence_runners, &faults::finish}},
     {"mute runners", {2500, &faults::mute_runners, &faults::unmute}},
-    {"mute platform", {4000, &faults::mute_platform, &faults::unmute}},
+    {"mute platform", {3300, &faults::mute_platform, &faults::unmute}},
     {"cut domain", {3000, &faults::cut_domain, &faults::join}},
     {"cut platform", {3000, &faults::cut_platform, &faults::join}},
     {"cut runners", {1500, &faults::cut_runners, &faults::join}},
-    {"platform outage", {4000, &faults::outage, &faults::end_outage}},
+    {"platform outage", {3300, &faults::outage, &faults::end_outage}},
     {"lost appends", {3000, &faults::lose_answers, &faults::finish}},
     {"workers fail", {2000, &faults::workers_fail, &faults::workers_back}},
     {"workers hang", {2000, &faults::workers_hang, &faults::workers_back}},
     {"workers refuse", {1500, &faults::workers_refuse, &faults::workers_back}},
-    {"leaving (list)", {4500, &faults::leave_by_list, &faults::listed_back}},
-    {"leaving (header)", {4500, &faults::leave_by_header, &faults::header_back}},
+    {"leaving (list)", {4000, &faults::leave_by_list, &faults::listed_back}},
+    {"leaving (header)", {4000, &faults::leave_by_header, &faults::header_back}},
 };
 
 faults::faults(cluster& all, evidence& seen, std::uint64_t seed)
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr duration start_limit = seconds{60};
-constexpr duration settle_time = milliseconds{700};
+constexpr duration settle_time = milliseconds{400};
 constexpr duration publish_interval = seconds{4};
 constexpr duration sample_interval = milliseconds{250};
 constexpr int slots_of_all_domains = 3 * 64;
@@ -141,7 +141,7 @@
                     memory_sum_ = std::max(memory_sum_, sum);
                     memory_most_ = std::max(memory_most_, most);
                 });
-                after(seconds{3}, [this] { next_step(); });
+                after(seconds{2}, [this] { next_step(); });
             }
             else if (boot_clock::now() - began_ < start_limit) {
                 after(milliseconds{100}, [this] { wait_until_owned(); });
@@ -352,7 +352,7 @@
                        is_long ? 4 : 1,
                        is_long ? 8 : 2,
                        is_long ? 60 : 40,
-                       is_long ? 0.5 : 0.25,
+                       is_long ? 0.4 : 0.25,
                        options.at("only"),
                        options.at("break"),
                        {}};
