--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -277,6 +277,16 @@
     auto& body = complete_reply(*job).body;
     const std::map<std::string, std::function<void()>> table{
         {"start_twice", [&] { ++seen.ledger[job->id + "/0"].count; }},
+        {"book_twice",
+         [&] {
+             for (auto& record : *seen.records) {
+                 const auto found = seen.ledger.find(record.id + "/0");
+                 if (record.customer == 0 && found != seen.ledger.end()) {
+                     ++found->second.count;
+                     return;
+                 }
+             }
+         }},
         {"repeat_without_fault",
          [&] {
              for (auto& record : *seen.records) {
@@ -322,7 +332,8 @@
          }},
         {"version_back",
          [&] {
-             seen.versions.push_back({0, wall_now_ms(), 1});
+             seen.versions.push_back({0, wall_now_ms(), 1000});
+             seen.versions.push_back({0, wall_now_ms(), 999});
          }},
         {"version_late",
          [&] {
--- a/testing/soak/cluster.cpp
+++ b/testing/soak/cluster.cpp
@@ -337,7 +337,7 @@
     call.url = url;
     call.body = std::move(body);
     call.timeout = seconds{5};
-    call.max_response_bytes = 64U * 1024 * 1024;
+    call.max_response_bytes = std::size_t{64} * 1024 * 1024;
     if (!token.empty())
         call.headers.push_back({"Authorization", "Bearer " + token});
     http_.send(std::move(call), [done = std::move(done)](runtime::call_result result) {
--- a/testing/soak/faults.cpp
+++ b/testing/soak/faults.cpp
@@ -49,6 +49,7 @@
 std::vector<std::string> faults::names() const
 {
     std::vector<std::string> out;
+    out.reserve(kinds.size());
     for (const auto& [name, how] : kinds)
         out.push_back(name);
     return out;
@@ -110,7 +111,7 @@
     };
 }
 
-void faults::control_platform(json wanted)
+void faults::control_platform(const json& wanted)
 {
     all_.ask("POST", all_.platform_url() + "/control", wanted.dump(), [](const json&) {});
 }
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -40,7 +40,7 @@
     int take_entry(injection& of);
     void take_runners(injection& of, int count);
     relay::selector other_domains(int domain) const;
-    void control_platform(json wanted);
+    void control_platform(const json& wanted);
     void set_mode(const injection& of, const std::string& mode);
     void publish_list();
     void finish(const injection_ptr& of);
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -101,7 +101,7 @@
     }
 
     /// Asks every entry host for its status.
-    void survey(std::function<void(int ready, int slots)> done)
+    void survey(const std::function<void(int ready, int slots)>& done)
     {
         struct counts {
             int left = entry_count;
@@ -349,7 +349,7 @@
                                                         {"bin", "build/bin"}});
     const bool is_long = options.at("form") == "long";
     run_options wanted{std::stoull(options.at("seed")),
-                       is_long ? 4 : 1,
+                       is_long ? 3 : 1,
                        is_long ? 8 : 2,
                        is_long ? 60 : 40,
                        is_long ? 0.4 : 0.25,
