--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -45,8 +45,9 @@
     /// from `search_first`. At most 8 requests a second then go out while the domain is full.
     duration search_first = milliseconds{10};
     duration search_longest = milliseconds{250};
-    /// Part of its spare slots that a host lends in one grant; the rest serves its own arrivals.
-    double lend_part = 0.5;
+    /// Part of its spare slots that a host lends in one grant. Keeping half back for own arrivals
+    /// cost more requests and gave no shorter response times.
+    double lend_part = 1.0;
     capacity_split split = capacity_split::grants;
 };
 
