dispatch: Add a property test of whole entry hosts

Random histories of three hosts in two domains with kills, pauses past the lease, cuts, lost and repeated messages, replaced links, lost append answers, configuration changes and planned stops. Two tests leave a guard out and show that an invariant fails.

--- a/modules/configlog/config_publisher.cpp
+++ b/modules/configlog/config_publisher.cpp
@@ -28,8 +28,7 @@
     if (!sites)
         return refuse(configlog_errc::content_invalid, settings::to_text(sites.error()));
     if (const auto* current = history.in_force()) {
-        const auto changes =
-            fixed_changes({current->record, *current->sites}, {record, **sites});
+        const auto changes = fixed_changes({current->record, *current->sites}, {record, **sites});
         if (!changes.empty())
             return refuse(configlog_errc::fixed_setting,
                           changes.front().key_path + " cannot change at run time");
--- a/modules/configlog/config_record.cpp
+++ b/modules/configlog/config_record.cpp
@@ -161,7 +161,8 @@
         auto other = known == before.sites.end()
                          ? settings_for(before.record, site)
                          : result<settings::cluster_settings, settings::settings_errors>{};
-        const auto* old = known == before.sites.end() ? (other ? &*other : nullptr) : &known->second;
+        const auto* old =
+            known == before.sites.end() ? (other ? &*other : nullptr) : &known->second;
         if (old == nullptr)
             continue;
         const auto changes = settings::changes_needing_restart(*old, now);
--- a/modules/configlog/config_record.h
+++ b/modules/configlog/config_record.h
@@ -63,8 +63,8 @@
 result<settings::cluster_settings, settings::settings_errors>
 settings_for(const config_record& record, const std::string& site);
 
-/// Settings of the sites of a record, by site name. Parsing takes tens of milliseconds at the design
-/// size, so the result is kept with the record and shared.
+/// Settings of the sites of a record, by site name. Parsing takes tens of milliseconds at the
+/// design size, so the result is kept with the record and shared.
 using site_settings = std::map<std::string, settings::cluster_settings>;
 using site_settings_ptr = std::shared_ptr<const site_settings>;
 
--- a/modules/dispatch/ownership_service.cpp
+++ b/modules/dispatch/ownership_service.cpp
@@ -143,8 +143,7 @@
     // A part that was lost with its link leaves the records incomplete; the quarantine then holds.
     const auto expected = next_parts_.find(at);
     const bool in_order =
-        decoded &&
-        decoded->number == (expected == next_parts_.end() ? 0 : expected->second);
+        decoded && decoded->number == (expected == next_parts_.end() ? 0 : expected->second);
     next_parts_.erase(at);
     if (!in_order)
         return;
@@ -184,9 +183,9 @@
 {
     const auto quarantine = static_cast<std::uint32_t>(to_ms(owner_.quarantine_left(slot, now)));
     for (auto& body : encode_records(table.export_slot(static_cast<std::uint8_t>(slot)))) {
-        actions_.add(send_peer{
-            to, wire::handover_records{static_cast<std::uint16_t>(slot), owner_.own_epoch(slot),
-                                       quarantine, body.last, std::move(body.text)}});
+        actions_.add(send_peer{to, wire::handover_records{static_cast<std::uint16_t>(slot),
+                                                          owner_.own_epoch(slot), quarantine,
+                                                          body.last, std::move(body.text)}});
     }
 }
 
--- a/modules/dispatch/ownership_service.h
+++ b/modules/dispatch/ownership_service.h
@@ -4,9 +4,9 @@
 #include <dispatch/id_authority.h>
 #include <dispatch/identity.h>
 #include <dispatch/start_guard.h>
+#include <map>
 #include <metrics/registry.h>
 #include <ownership/slot_owner.h>
-#include <map>
 #include <settings/cluster_settings.h>
 #include <string>
 #include <submission/submission_table.h>
--- a/modules/dispatch/request_router.cpp
+++ b/modules/dispatch/request_router.cpp
@@ -25,8 +25,7 @@
                                const membership::member_table& members, action_list& actions,
                                metrics::registry& metrics)
     : self_{std::move(self)}, service_{service}, ownership_{ownership}, members_{members},
-      actions_{actions}, next_request_{self_.incarnation},
-      next_remote_waiter_{first_remote_waiter},
+      actions_{actions}, next_request_{self_.incarnation}, next_remote_waiter_{first_remote_waiter},
       refusals_{metrics.reasons("chivewharf_refusals_total")}, forwards_{metrics.counter(
                                                                    "chivewharf_forwards_total")},
       repeats_{metrics.counter("chivewharf_forwards_repeated_total")},
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -107,9 +107,8 @@
       starts_{metrics.counter("chivewharf_task_starts_total")},
       late_results_{metrics.counter("chivewharf_late_results_total")},
       spills_{metrics.counter("chivewharf_spills_sent_total")},
-      order_{std::make_unique<sched::shortest_remaining_work>()}, sharing_{pool_, self.host,
-                                                                           self.incarnation},
-      next_call_{self.incarnation}
+      order_{std::make_unique<sched::shortest_remaining_work>()},
+      sharing_{pool_, self.host, self.incarnation}, next_call_{self.incarnation}
 {
 }
 
--- a/modules/dispatch/tests/rig.cpp
+++ b/modules/dispatch/tests/rig.cpp
@@ -1,6 +1,7 @@
 #include "rig.h"
 
 #include <dispatch/overloaded.h>
+#include <glog/logging.h>
 #include <iomanip>
 #include <regex>
 
@@ -12,8 +13,7 @@
 
 constexpr time_point first_time{seconds{1000}};
 constexpr wall_ms first_wall = 1'700'000'000'000;
-constexpr duration step = milliseconds{20};
-constexpr duration read_interval = milliseconds{100};
+constexpr duration read_interval = milliseconds{200};
 
 /// Messages that every host sends all the time; a session shows them on request.
 const std::set<std::string> background{
@@ -79,7 +79,7 @@
 
 rig::rig() : base_(demo_base()), now_{first_time}
 {
-    publish("config {}", 7);
+    FLAGS_minloglevel = google::GLOG_FATAL;
 }
 
 rig::~rig() = default;
@@ -146,6 +146,8 @@
 
 void rig::start_host(const std::string& name)
 {
+    if (version_ == 0)
+        publish("config {}", 7);
     auto one = std::make_unique<node>();
     one->name = name;
     one->incarnation = ++incarnations_ << 32U;
@@ -212,6 +214,17 @@
     }
 }
 
+void rig::hand_in(const letter& one)
+{
+    auto* to = find(one.to);
+    const auto* from = find(one.from);
+    if (to == nullptr || from == nullptr)
+        return;
+    to->core->peer_message({from->core->self().domain, one.from, one.from_incarnation}, one.message,
+                           clock(*to));
+    perform(*to);
+}
+
 void rig::deliver_all()
 {
     for (std::size_t round = 0; round < 10'000; ++round) {
@@ -227,13 +240,10 @@
             moved = true;
             const auto current = links_.find(ordered(one.from, one.to));
             const bool live = current != links_.end() && current->second == one.link;
-            if (to == nullptr || (!live && !old_links_deliver))
-                break;
-            const auto* from = find(one.from);
-            const std::string domain = from != nullptr ? from->core->self().domain : "north";
-            to->core->peer_message({domain, one.from, one.from_incarnation}, one.message,
-                                   clock(*to));
-            perform(*to);
+            if (live && to != nullptr)
+                hand_in(one);
+            else if (!live && old_links_deliver)
+                stale_.push_back(one);
             break;
         }
         if (!moved)
@@ -335,6 +345,9 @@
                 },
                 [](abort_call&) {},
                 [&](send_peer& p) {
+                    // The end of a link leaves a spilled task in doubt.
+                    if (const auto* spill = std::get_if<wire::spill_task>(&p.message))
+                        ++ambiguous_[spill->customer + ' ' + spill->task];
                     const auto current = links_.find(ordered(of.name, p.host));
                     if (current != links_.end())
                         mail_.push_back({of.name, of.incarnation, p.host, current->second,
@@ -344,6 +357,7 @@
                     using ownership::append_outcome;
                     auto outcome = append_outcome::not_written;
                     if (!of.log_cut && log_mode_ != "down") {
+                        owners_[a.stream].apply(log_[a.stream].size(), a.text);
                         log_[a.stream].emplace_back(clock(of).wall, a.text);
                         outcome = log_mode_ == "lost" ? append_outcome::may_have_been_written
                                                       : append_outcome::written;
@@ -477,20 +491,32 @@
             report.end = static_cast<call_end>(i);
     }
     const bool unsent = report.end == call_end::not_sent || report.end == call_end::withheld;
+    if (open.started && unsent)
+        report.end = call_end::lost;
     if (at != nullptr && !unsent && !open.started) {
         run("start " + w[1]);
         const auto again = calls_.find(w[1]);
         if (again == calls_.end())
             return;
     }
+    const bool started = calls_.at(w[1]).started;
     calls_.erase(w[1]);
+    const auto task = open.task.customer + ' ' + open.task.task;
+    if (report.end == call_end::refused && started) {
+        // A runner that reports "not run" has not started the task.
+        if (auto& starts = starts_[task]; --starts == 0)
+            starts_.erase(task);
+    }
+    else if (report.end == call_end::lost || report.end == call_end::silent ||
+             report.end == call_end::aborted)
+        ++ambiguous_[task];
     const auto body = line.find('{');
     if (body != std::string::npos)
         report.body = line.substr(body);
     if (report.end == call_end::answered && report.body.empty())
         report.body = "\"" + open.task.task + '#' + w[1] + '"';
     if (report.end == call_end::answered)
-        payloads_[open.task.customer + ' ' + open.task.task].push_back(report.body);
+        payloads_[task].push_back(report.body);
     report.leaving = w.back() == "leaving";
     if (at == nullptr)
         return;
@@ -498,6 +524,33 @@
     perform(*at);
 }
 
+void rig::begin_call(const std::string& name)
+{
+    const auto call = calls_.find(name);
+    if (call == calls_.end() || call->second.started)
+        return;
+    auto& open = call->second;
+    auto* sender = find(open.host);
+    if (sender == nullptr || sender->paused)
+        return;
+    if (!ignore_confirm && !sender->core->confirm_start(open.task.call, now_)) {
+        say(open.host + " withholds " + name);
+        end_call({"end", name, "withheld"}, "");
+        return;
+    }
+    open.started = true;
+    ++starts_[open.task.customer + ' ' + open.task.task];
+    const auto id =
+        submission::submission_id::parse(open.task.task.substr(0, open.task.task.rfind('/')));
+    const auto& self = sender->core->self();
+    const std::vector<std::string> domains{"north", "south"};
+    if (!id || id->issued() || id->home_domain(open.task.customer, domains) != self.domain)
+        return;
+    const auto& slot = owners_[sender->core->ownership_stream()].slot(id->slot(open.task.customer));
+    if (slot.owner != ownership::incarnation_id{self.host, self.incarnation})
+        violation_ = open.host + " starts " + open.task.task + ", whose slot another host owns";
+}
+
 void rig::run(const std::string& line)
 {
     const auto w = split(line);
@@ -540,27 +593,17 @@
     else if (verb == "repeat") {
         const auto waiting = mail_;
         for (const auto& m : waiting) {
-            if (m.from == w[1] && m.to == w[2])
+            // A link never repeats a request; the same request comes again on a new link.
+            if (m.from == w[1] && m.to == w[2] && !std::holds_alternative<wire::forward>(m.message))
                 mail_.push_back(m);
         }
     }
-    else if (verb == "start") {
-        const auto call = calls_.find(w[1]);
-        if (call != calls_.end() && !call->second.started) {
-            auto* sender = find(call->second.host);
-            const bool go =
-                sender != nullptr &&
-                (ignore_confirm || sender->core->confirm_start(call->second.task.call, now_));
-            if (go) {
-                call->second.started = true;
-                ++starts_[call->second.task.customer + ' ' + call->second.task.task];
-            }
-            else if (sender != nullptr) {
-                say(call->second.host + " withholds " + w[1]);
-                end_call({"end", w[1], "withheld"}, "");
-            }
-        }
+    else if (verb == "stale") {
+        for (const auto& one : std::exchange(stale_, {}))
+            hand_in(one);
     }
+    else if (verb == "start")
+        begin_call(w[1]);
     else if (verb == "end")
         end_call(w, line);
     else if (at == nullptr)
--- a/modules/dispatch/tests/rig.h
+++ b/modules/dispatch/tests/rig.h
@@ -46,6 +46,8 @@
     time_point now() const { return now_; }
     const std::map<std::string, asked>& requests() const { return requests_; }
     const std::map<std::string, open_call>& calls() const { return calls_; }
+    /// Ends by task after which it is not known whether the task ran.
+    const std::map<std::string, unsigned>& ambiguous() const { return ambiguous_; }
     /// Starts by customer and task name.
     const std::map<std::string, unsigned>& starts() const { return starts_; }
     const std::map<std::string, std::vector<std::string>>& payloads() const { return payloads_; }
@@ -55,8 +57,9 @@
 
     /// Guards that a test leaves out, to show that an invariant depends on them.
     bool ignore_confirm = false;
-    bool old_links_deliver = false;
-    bool quiet = false; ///< no transcript
+    bool old_links_deliver = false; ///< the command `stale` delivers messages of replaced links
+    bool quiet = false;             ///< no transcript
+    duration step = milliseconds{20};
 
 private:
     struct node;
@@ -74,6 +77,8 @@
     node* find(const std::string& name);
     void perform(node& of);
     void deliver_all();
+    void hand_in(const letter& one);
+    void begin_call(const std::string& name);
     bool linked(const std::string& a, const std::string& b) const;
     void link(const std::string& a, const std::string& b, bool up);
     void start_host(const std::string& name);
@@ -96,6 +101,8 @@
     std::set<std::pair<std::string, std::string>> held_;
     std::set<std::pair<std::string, std::string>> cut_;
     std::vector<letter> mail_;
+    std::vector<letter> stale_;                                    ///< of links that were replaced
+    std::map<std::string, ownership::ownership_log_state> owners_; ///< fold of each stream
     std::map<std::string, std::vector<std::pair<wall_ms, std::string>>> log_;
     std::map<std::string, std::string> names_;
     std::map<std::string, asked> requests_;
@@ -104,6 +111,7 @@
     std::map<std::string, open_call> calls_;
     std::uint64_t next_call_ = 1;
     std::map<std::string, unsigned> starts_;
+    std::map<std::string, unsigned> ambiguous_;
     std::map<std::string, std::vector<std::string>> payloads_;
     std::string log_mode_ = "up";
     std::int64_t version_ = 0;
--- a/modules/ownership/ownership_record.h
+++ b/modules/ownership/ownership_record.h
@@ -42,8 +42,8 @@
     bool operator==(const renew_record&) const = default;
 };
 
-/// Passes slots from their owner, each at its epoch, to `to`, which owns them at the next epoch. The
-/// record is judged for each slot on its own.
+/// Passes slots from their owner, each at its epoch, to `to`, which owns them at the next epoch.
+/// The record is judged for each slot on its own.
 struct handover_record {
     std::vector<slot_epoch> slots;
     incarnation_id from;
--- a/modules/submission/submission_table.cpp
+++ b/modules/submission/submission_table.cpp
@@ -155,9 +155,12 @@
 reception submission_table::receive(record& held, std::optional<waiter> who)
 {
     if (!held.live) {
-        return {receipt::answered, refuse(reason::id_expired, held.work,
-                                          "the answer is no longer kept; its reason was " +
-                                              std::string{to_name(held.why)})};
+        return {receipt::answered,
+                refuse(reason::id_expired, held.work,
+                       held.why == reason::none ? "the submission was complete, its answer is no "
+                                                  "longer kept"
+                                                : "the answer is no longer kept; its reason was " +
+                                                      std::string{to_name(held.why)})};
     }
     live_submission& live = *held.live;
     if (live.reply)
