--- a/modules/dispatch/tests/histories_test.cpp
+++ b/modules/dispatch/tests/histories_test.cpp
@@ -59,11 +59,11 @@
         std::mt19937 random{number};
         const auto pick = [&random](std::size_t n) { return random() % n; };
         const std::vector<std::string> names{"n1", "n2", "s1"};
-        const auto host = names[pick(3)];
-        const auto other =
+        const auto& host = names[pick(3)];
+        const auto& other =
             names[(pick(2) + 1 + static_cast<std::size_t>(host[0] == 's' ? 2 : host[1] - '1')) % 3];
         const std::vector<std::string> ids{"$I0", "$I1", "$I2", "north:k0", "north:k1", "south:k2"};
-        const auto id = ids[pick(ids.size())];
+        const auto& id = ids[pick(ids.size())];
         const auto waiter = 'w' + std::to_string(++waiters_);
         const auto wait = " wait=" + std::to_string(100 + pick(900));
         const auto kind = pick(40);
