Apply the published constants of the workers, drop those without effect; audit the promises

Cause: 28 settings were parsed and checked but nothing read them; only P7 and P8 had a violation counter; a planned stop did not wait for answers being written; a worker whose host does not answer a connection attempt held its tasks until their deadline. Change: ejection, re-entry, straggler and grant constants take effect when a configuration is applied; 19 constants that belong to the peer protocol or the scheduler's design are no settings any more. promise_audit counts P1, P2, P4, P5 and P6. The stop ends when no answer is being written. A connection attempt is given up after 500 ms as not sent.

--- a/modules/daemon/caller_gateway.h
+++ b/modules/daemon/caller_gateway.h
@@ -27,6 +27,9 @@
     /// Port that the server listens on; 0 before `start`.
     std::uint16_t port() const noexcept { return port_; }
 
+    /// Requests whose answers are not written to their end.
+    std::size_t unfinished() const { return server_ ? server_->busy_connections() : 0; }
+
     /// What `/readyz` answers.
     void set_ready(bool ready) noexcept { ready_ = ready; }
 
--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -10,8 +10,8 @@
 constexpr duration drain_check = milliseconds{20};
 constexpr duration health_check = milliseconds{100};
 
-/// The hand-over of ownership slots is given up after this time; the slots are then claimed after
-/// the lease, with a quarantine.
+/// The hand-over of ownership slots, and callers that do not read their answers, are given up after
+/// this time; the slots are then claimed after the lease, with a quarantine.
 constexpr duration handover_limit = seconds{5};
 
 std::uint64_t random_number()
@@ -141,8 +141,8 @@
 
 void entry_daemon::wait_until_handed_over()
 {
-    // Requests that arrived in the meantime were refused and their answers are being written.
-    const bool done = core_->handed_over() && platform_->pending_appends() == 0;
+    const bool done =
+        core_->handed_over() && platform_->pending_appends() == 0 && callers_->unfinished() == 0;
     if (!done && boot_clock::now() - stop_began_ < handover_limit)
         return;
     log_line{"stopped"}.add("handed_over", done ? "true" : "false").write();
--- a/modules/dispatch/task_dispatcher.cpp
+++ b/modules/dispatch/task_dispatcher.cpp
@@ -24,6 +24,7 @@
 struct task_dispatcher::job {
     submission_key key;
     service_state* service = nullptr;
+    std::size_t tasks = 0;
     std::vector<call_id> calls; ///< sends that have not ended
     bool settled = false;
     bool spilled = false;
@@ -66,6 +67,21 @@
 /// The answer of a spilled task may arrive this long after its deadline.
 constexpr duration spill_margin = milliseconds{200};
 
+upstream::pool_options pool_options_of(const settings::policy_settings& policy)
+{
+    upstream::pool_options options;
+    options.eject_after_failures = static_cast<std::uint32_t>(policy.eject_failures);
+    options.eject_share = policy.eject_failure_share;
+    options.eject_min_seen = static_cast<std::uint32_t>(policy.eject_min_tasks);
+    options.eject_pool_ratio = policy.eject_pool_ratio;
+    options.eject_ceiling = policy.eject_max_share;
+    options.eject_first = policy.eject_first;
+    options.eject_longest = policy.eject_longest;
+    options.successes_per_slot = static_cast<std::uint32_t>(policy.restore_successes);
+    options.straggler_ratio = policy.straggler_ratio;
+    return options;
+}
+
 sched::job_handle handle_of(const submission_key& key)
 {
     return key.low;
@@ -143,7 +159,7 @@
       queue_wait_{metrics.histogram("chivewharf_queue_wait_seconds")},
       run_time_{metrics.histogram("chivewharf_run_time_seconds")},
       starts_{metrics.counter("chivewharf_task_starts_total")},
-      late_results_{metrics.counter("chivewharf_late_results_total")},
+      late_results_{metrics.counter("chivewharf_late_results_total")}, audit_{metrics},
       spills_{metrics.counter("chivewharf_spills_sent_total")}, order_{make_order(options.order)},
       pool_{{}, make_choice(options.choice)}, sharing_{pool_, self.host, self.incarnation,
                                                        sharing_options_of(options)},
@@ -157,6 +173,8 @@
                             const customer_directory& customers, std::string_view domain,
                             time_point now)
 {
+    pool_.set_options(pool_options_of(settings.policy));
+    sharing_.set_lease(settings.policy.grant);
     apply_services(settings, now);
     apply_customers(settings, customers, now);
     apply_workers(settings, domain, now);
@@ -300,7 +318,7 @@
     for (const auto& task : *request.tasks)
         tasks.push_back({index++, estimator_.expected(request.service, task.kind, declared(task))});
     const auto handle = handle_of(request.key);
-    jobs_[handle] = {request.key, service, {}, false, request.spilled};
+    jobs_[handle] = {request.key, service, tasks.size(), {}, false, request.spilled};
     if (!service->queue.enqueue(request.customer, handle, std::move(tasks), now))
         fail(request.key, reason::internal, "the submission could not be queued", now);
 }
@@ -396,6 +414,7 @@
     const auto number = register_call(service, pick, of, *attempt, now);
     auto& made = calls_.at(number);
     made.worker = worker;
+    audit_.started_on(pool_.state(worker));
     pool_.task_started(worker);
     ++starts_;
     emit_send(*table_.request(of.key), number, made, now);
@@ -590,6 +609,8 @@
         usage_[ended.pick.customer] += to_seconds(used);
     std::erase(jobs_.at(ended.pick.job).calls, number);
     auto& queue = ended.service->queue;
+    if (effect.queued_again && ran)
+        audit_.sent_again(ended.service->config.idempotent && jobs_.at(ended.pick.job).tasks == 1);
     if (effect.queued_again)
         retry(ended, why, now);
     else if (ran)
@@ -640,6 +661,7 @@
         if (found->second.spilled)
             observer = spill_observer_;
         found->second.settled = true;
+        audit_.settled(*effect.reply, found->second.tasks, found->second.calls.size());
         found->second.service->queue.remove_job(handle);
         if (!effect.abort_tasks.empty()) {
             for (const auto number : found->second.calls)
--- a/modules/dispatch/task_dispatcher.h
+++ b/modules/dispatch/task_dispatcher.h
@@ -6,6 +6,7 @@
 #include <dispatch/customer_directory.h>
 #include <dispatch/identity.h>
 #include <dispatch/policy_options.h>
+#include <dispatch/promise_audit.h>
 #include <dispatch/spill_targets.h>
 #include <dispatch/start_guard.h>
 #include <map>
@@ -189,6 +190,7 @@
     metrics::latency_histogram& run_time_;
     std::uint64_t& starts_;
     std::uint64_t& late_results_;
+    promise_audit audit_;
     std::uint64_t& spills_;
     settlement_observer* spill_observer_ = nullptr;
     spill_targets targets_;
--- a/modules/runtime/http_client_call.cpp
+++ b/modules/runtime/http_client_call.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// A host that does not answer a connection attempt in this time is given up, so that the request,
+/// of which no byte has left, can go elsewhere before its deadline.
+constexpr duration connect_limit = milliseconds{500};
+
 constexpr std::size_t first_read_bytes = 4096;
 constexpr std::size_t later_read_bytes = 65536;
 
@@ -73,11 +77,21 @@
         return;
     }
     session_ = retain(session);
-    deadline_.once(call_.timeout, [this] { stop(call_outcome::timed_out); });
+    deadline_.once(std::min(call_.timeout, connect_limit), [this] { check_connected(); });
     soup_session_send_async(session, message_.get(), G_PRIORITY_DEFAULT, cancellable_.get(),
                             &http_client_call::response_started, this);
 }
 
+void http_client_call::check_connected()
+{
+    if (!may_have_left_)
+        stop(call_outcome::not_sent);
+    else if (call_.timeout <= connect_limit)
+        stop(call_outcome::timed_out);
+    else
+        deadline_.once(call_.timeout - connect_limit, [this] { stop(call_outcome::timed_out); });
+}
+
 void http_client_call::refuse(std::string message)
 {
     // Reported from the loop, so that `done` never runs inside http_client::send().
--- a/modules/runtime/http_client_call.h
+++ b/modules/runtime/http_client_call.h
@@ -40,6 +40,7 @@
 
     bool build_message();
     void send(SoupSession* session);
+    void check_connected();
     void refuse(std::string message);
     void read_available();
     bool take(gssize size, GError* error);
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -1,5 +1,7 @@
 #include <runtime/http_server.h>
 
+#include <algorithm>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -226,6 +228,13 @@
     open->receiving_since.reset();
 }
 
+std::size_t http_server::busy_connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto* open) { return open->in_handler; }));
+}
+
 void http_server::handle(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
                          GHashTable* query, gpointer self)
 {
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -55,6 +55,9 @@
 
     std::size_t open_connections() const noexcept { return connections_.size(); }
 
+    /// Connections with a request whose response is not written to its end.
+    std::size_t busy_connections() const;
+
 private:
     struct connection;
 
--- a/modules/settings/cluster_settings.h
+++ b/modules/settings/cluster_settings.h
@@ -106,7 +106,6 @@
     // Workers.
     std::int64_t eject_failures = 3; ///< in a row
     double eject_failure_share = 0.5;
-    std::int64_t eject_window = 10; ///< tasks
     std::int64_t eject_min_tasks = 5;
     double eject_pool_ratio = 3;
     double eject_max_share = 0.3;
@@ -117,28 +116,9 @@
     duration grant{2'000'000'000};
     duration host_list_poll{1'000'000'000};
     std::int64_t upstream_max_connections = 4096; ///< of one entry host
-    // Queues, estimates and retries.
+    // Queues.
     std::int64_t max_queued_per_customer = 10'000;
-    std::int64_t max_queued_total = 50'000;
-    double declared_weight = 3; ///< observations that a declared run time counts for
-    double retry_ratio = 0.1;
-    double retry_cap = 100;
-    duration backoff_first{10'000'000};
-    duration backoff_longest{1'000'000'000};
-    // Peers.
-    duration ping{500'000'000};
-    duration link_silent{1'500'000'000};
-    duration handshake_timeout{2'000'000'000};
-    duration heartbeat{500'000'000};
-    std::int64_t watchers = 3;
-    duration suspect{1'500'000'000};
-    duration refute{1'000'000'000};
-    duration ramp{10'000'000'000};
-    double ramp_start = 0.1;
-    duration usage_exchange{1'000'000'000};
-    duration usage_restart{16'000'000'000};
     // Platform.
-    duration platform_timeout{1'000'000'000};
     duration log_retention{86'400'000'000'000}; ///< the platform's figure; republication uses half
     double log_appends_per_second = 30;         ///< budget of the whole system
 
--- a/modules/settings/tests/settings_test.cpp
+++ b/modules/settings/tests/settings_test.cpp
@@ -185,16 +185,17 @@
     auto demo = example("demo.json");
     demo.sources[0].file = "base";
     const auto overlay = *parse_text(R"({"upstreams": [{"name": "w", "slots": 0}],
-                                         "policy": {"watchers": 0}})",
+                                         "policy": {"restore_successes": 0}})",
                                      "s");
     demo.value["services"][0]["max_queued"] = 0;
     std::set<std::string> blamed;
     const auto parsed = parse_cluster(merge(demo, overlay));
     for (const auto& e : parsed.error())
         blamed.insert(e.file + ':' + e.key_path);
-    EXPECT_THAT(blamed, testing::ElementsAre("base:services[0].max_queued", "s:policy.watchers",
-                                             "s:upstreams[0].address", "s:upstreams[0].domain",
-                                             "s:upstreams[0].service", "s:upstreams[0].slots"));
+    EXPECT_THAT(blamed,
+                testing::ElementsAre("base:services[0].max_queued", "s:policy.restore_successes",
+                                     "s:upstreams[0].address", "s:upstreams[0].domain",
+                                     "s:upstreams[0].service", "s:upstreams[0].slots"));
 }
 
 // Guards against shipped examples that no longer parse, and against a base file whose documented
--- a/modules/upstream/slot_sharing.h
+++ b/modules/upstream/slot_sharing.h
@@ -83,6 +83,9 @@
     /// refusal. Grants of hosts that are not live are dropped.
     void set_members(time_point now, std::vector<member> members);
 
+    /// Lease of the grants that are made from here on.
+    void set_lease(duration lease) { options_.lease = lease; }
+
     /// Call it after workers were put into the pool or removed from it.
     void workers_changed(time_point now);
 
--- a/modules/upstream/worker_pool.h
+++ b/modules/upstream/worker_pool.h
@@ -75,6 +75,9 @@
     /// Errors: unknown_worker.
     result<void, upstream_error> remove(std::string_view name);
 
+    /// Replaces the constants; they hold from the next decision on.
+    void set_options(const pool_options& options) { options_ = options; }
+
     /// Worker with a free slot for a task, or none. The task is not counted until `task_started`.
     /// \param expected run time at the reference speed
     /// \param deadline a task whose deadline is further away than `borrowed_run_limit` is never
