--- a/bench/capacity/capacity_bench.cpp
+++ b/bench/capacity/capacity_bench.cpp
@@ -181,8 +181,7 @@
     std::shared_ptr<const settings::cluster_settings> settings_;
     std::map<std::string, host> hosts_;
     submission::waiter next_waiter_ = 1;
-    time_point now_{hours_};
-    static constexpr duration hours_ = std::chrono::hours{1};
+    time_point now_{std::chrono::hours{1}};
 };
 
 double processor_seconds()
--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 entry_daemon::entry_daemon(const settings::host_settings& host,
-                           std::shared_ptr<const settings::cluster_settings> initial,
+                           const std::shared_ptr<const settings::cluster_settings>& initial,
                            bool fixed_settings)
     : host_{host}, fixed_settings_{fixed_settings}, core_{std::make_unique<dispatch::entry_host>(
                                                         make_identity(host),
--- a/modules/daemon/entry_daemon.h
+++ b/modules/daemon/entry_daemon.h
@@ -21,7 +21,8 @@
     ///        force
     /// \param fixed_settings use the initial settings as the configuration and ignore the log's
     entry_daemon(const settings::host_settings& host,
-                 std::shared_ptr<const settings::cluster_settings> initial, bool fixed_settings);
+                 const std::shared_ptr<const settings::cluster_settings>& initial,
+                 bool fixed_settings);
     ~entry_daemon();
     entry_daemon(const entry_daemon&) = delete;
     entry_daemon& operator=(const entry_daemon&) = delete;
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -35,8 +35,8 @@
 
 peer_gateway::peer_gateway(core_loop& loop, metrics::registry& metrics, std::string address,
                            std::string key, std::uint64_t seed)
-    : loop_{loop}, metrics_{metrics}, address_{std::move(address)}, key_{std::move(key)},
-      random_{seed}, opened_{metrics.counter("chivewharf_peer_links_opened_total")},
+    : loop_{loop}, address_{std::move(address)}, key_{std::move(key)}, random_{seed},
+      opened_{metrics.counter("chivewharf_peer_links_opened_total")},
       closed_{metrics.counter("chivewharf_peer_links_closed_total")},
       dropped_{metrics.counter("chivewharf_peer_messages_dropped_total")},
       sent_bytes_{metrics.counter("chivewharf_peer_bytes_sent_total")}
--- a/modules/daemon/peer_gateway.h
+++ b/modules/daemon/peer_gateway.h
@@ -68,7 +68,6 @@
     void close_idle();
 
     core_loop& loop_;
-    metrics::registry& metrics_;
     std::string address_;
     std::string key_;
     rng random_;
--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t read_bytes = 16384;
-constexpr std::size_t max_queued_bytes = 8U * 1024 * 1024;
+constexpr std::size_t max_queued_bytes = 8U << 20U;
 constexpr duration least_check = milliseconds{50};
 constexpr duration greatest_check = milliseconds{250};
 
@@ -17,8 +17,8 @@
                                     wire::link_side side, wire::hello self, const std::string& key,
                                     rng& random, observer observe)
 {
-    const link_ptr link{new peer_link{std::move(connection), side, std::move(self), key, random,
-                                      std::move(observe)}};
+    link_ptr link{new peer_link{std::move(connection), side, std::move(self), key, random,
+                                std::move(observe)}};
     link->self_ = link;
     link->send(link->handshake_.greeting());
     link->read_more();
--- a/modules/daemon/upstream_gateway.cpp
+++ b/modules/daemon/upstream_gateway.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t max_answer_bytes = 1024 * 1024;
+constexpr std::size_t max_answer_bytes = 1U << 20U;
 
 call_end end_of(const runtime::call_result& result)
 {
--- a/modules/dispatch/peer_service.cpp
+++ b/modules/dispatch/peer_service.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/peer_service.h>
 
 #include <algorithm>
+#include <cmath>
 #include <dispatch/peer_codec.h>
 
 namespace chivewharf::dispatch {
@@ -44,14 +45,14 @@
     members_changed(now);
 }
 
-void peer_service::carry_out(membership::member_output output, time_point now)
+void peer_service::carry_out(const membership::member_output& output, time_point now)
 {
     // The question to a suspect must not go over the link on which the suspect went silent.
     for (const auto& event : output.events) {
         if (event.change == membership::member_change::suspected)
             actions_.add(drop_link{event.host});
     }
-    for (auto& send : output.sends) {
+    for (const auto& send : output.sends) {
         const bool beat = std::holds_alternative<membership::heartbeat>(send.message);
         ++(beat ? heartbeats_ : reports_);
         actions_.add(send_peer{send.host, to_wire(send.message)});
@@ -100,7 +101,7 @@
             .warn();
         return;
     }
-    carry_out(std::move(*output), now);
+    carry_out(*output, now);
 }
 
 void peer_service::on_usage(const peer_identity& from, const wire::usage_average& message,
@@ -182,7 +183,8 @@
         const double remote = std::max(0.0, domain - own);
         if (remote > 0)
             dispatcher_.charge_remote(customer, remote * elapsed);
-        dispatcher_.limits().set_remote_running(customer, static_cast<std::uint32_t>(remote + 0.5));
+        dispatcher_.limits().set_remote_running(customer,
+                                                static_cast<std::uint32_t>(std::lround(remote)));
         // Half of the rate is split evenly, half by usage; over all hosts the parts add up to 1.
         const double even = 1.0 / static_cast<double>(live);
         const double by_usage = domain > 0 ? std::min(1.0, own / domain) : even;
--- a/modules/dispatch/peer_service.h
+++ b/modules/dispatch/peer_service.h
@@ -68,7 +68,7 @@
     double domain_usage(std::string_view customer, time_point now) const;
 
 private:
-    void carry_out(membership::member_output output, time_point now);
+    void carry_out(const membership::member_output& output, time_point now);
     void members_changed(time_point now);
     void measure_usage(time_point now);
     void charge_usage(time_point now);
--- a/modules/dispatch/tests/histories_test.cpp
+++ b/modules/dispatch/tests/histories_test.cpp
@@ -268,7 +268,8 @@
     void serves_again(const std::string& name)
     {
         for (int attempt = 0; attempt < 10; ++attempt) {
-            const auto waiter = "z" + name + std::to_string(attempt);
+            auto waiter = 'z' + name;
+            waiter += std::to_string(attempt);
             run("issue " + name + " Z");
             run("submit " + name + ' ' + waiter + " $Z plug 900 a wait=900");
             for (int i = 0; i < 3; ++i) {
--- a/modules/runtime/http_client_call.cpp
+++ b/modules/runtime/http_client_call.cpp
@@ -21,7 +21,7 @@
                         http_client::done_function done,
                         http_client::before_send_function before_send)
 {
-    const std::shared_ptr<http_client_call> started{new http_client_call{
+    std::shared_ptr<http_client_call> started{new http_client_call{
         std::move(calls), std::move(call), std::move(done), std::move(before_send)}};
     started->self_ = started;
     started->send(session);
--- a/modules/runtime/http_exchange.cpp
+++ b/modules/runtime/http_exchange.cpp
@@ -7,7 +7,7 @@
 std::shared_ptr<http_exchange> http_exchange::start(SoupServerMessage* message, const char* path,
                                                     GHashTable* query)
 {
-    const std::shared_ptr<http_exchange> exchange{new http_exchange{message, path, query}};
+    std::shared_ptr<http_exchange> exchange{new http_exchange{message, path, query}};
     exchange->self_ = exchange;
     return exchange;
 }
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -18,7 +18,7 @@
 
 /// Limits that an `http_server` enforces before a handler sees a request.
 struct http_limits {
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_body_bytes = 1U << 20U;
     std::size_t max_connections = 2000;
     /// From the first byte of a request to its last.
     duration request_timeout = seconds{5};
--- a/modules/runtime/tests/http_client_test.cpp
+++ b/modules/runtime/tests/http_client_test.cpp
@@ -15,7 +15,7 @@
 /// Sends one call and returns its result.
 call_result call(http_client& client, const std::string& url,
                  http_client::before_send_function before_send = {}, duration timeout = seconds{60},
-                 std::size_t max_bytes = 1024 * 1024)
+                 std::size_t max_bytes = 1U << 20U)
 {
     std::optional<call_result> result;
     http_call request;
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -103,7 +103,7 @@
 {
     start({});
     raw_socket caller{port_};
-    const std::string body(1024 * 1024, 'b');
+    const std::string body(1U << 20U, 'b');
     caller.send(post(body));
     EXPECT_TRUE(receives(caller, '<' + body + '>'));
 }
--- a/modules/submission/submission_id.h
+++ b/modules/submission/submission_id.h
@@ -2,7 +2,6 @@
 
 #include <base/digest.h>
 #include <base/result.h>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -68,7 +67,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const submission_key&) const = default;
+    bool operator==(const submission_key&) const = default;
+    bool operator<(const submission_key& other) const
+    {
+        return high != other.high ? high < other.high : low < other.low;
+    }
 };
 
 /// Key of the customer's id.
--- a/testing/support/options.cpp
+++ b/testing/support/options.cpp
@@ -8,9 +8,10 @@
 namespace chivewharf::testing_support {
 
 std::map<std::string, std::string> read_options(int argc, char** argv,
-                                                std::map<std::string, std::string> defaults)
+                                                const std::map<std::string, std::string>& defaults)
 {
     std::vector<option> table;
+    table.reserve(defaults.size() + 1);
     for (const auto& [name, value] : defaults)
         table.push_back({name.c_str(), required_argument, nullptr, 0});
     table.push_back({nullptr, 0, nullptr, 0});
