--- a/modules/dispatch/tests/histories_test.cpp
+++ b/modules/dispatch/tests/histories_test.cpp
@@ -268,10 +268,12 @@
     void serves_again(const std::string& name)
     {
         for (int attempt = 0; attempt < 10; ++attempt) {
-            auto waiter = 'z' + name;
-            waiter += std::to_string(attempt);
+            std::string waiter{"z"};
+            waiter.append(name).append(std::to_string(attempt));
             run("issue " + name + " Z");
-            run("submit " + name + ' ' + waiter + " $Z plug 900 a wait=900");
+            std::string submit{"submit "};
+            submit.append(name).append(" ").append(waiter).append(" $Z plug 900 a wait=900");
+            run(submit);
             for (int i = 0; i < 3; ++i) {
                 run("advance 100");
                 end_all();
