Share the main loop of the stand-ins and remove an unused count

Cause: both stand-ins set up the same loop with the same signal handling, and peer_gateway::waiting had no caller. Change: testing_support::run_until_stopped serves both; waiting is gone.

--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -254,14 +254,6 @@
     link->close("the host is suspected");
 }
 
-std::size_t peer_gateway::waiting() const
-{
-    std::size_t count = 0;
-    for (const auto& [host, to] : routes_)
-        count += to.waiting.size();
-    return count;
-}
-
 void peer_gateway::close_idle()
 {
     const auto now = boot_clock::now();
--- a/modules/daemon/peer_gateway.h
+++ b/modules/daemon/peer_gateway.h
@@ -38,9 +38,6 @@
     /// Closes the link to the host, so that the next message goes over a new one.
     void drop(const std::string& host);
 
-    /// Messages of all hosts that are queued or being written, for a planned stop.
-    std::size_t waiting() const;
-
 private:
     using link_ptr = peer_link::link_ptr;
 
--- a/testing/standin_platform/main.cpp
+++ b/testing/standin_platform/main.cpp
@@ -12,7 +12,6 @@
 #include <iostream>
 #include <list>
 #include <memory>
-#include <runtime/main_loop.h>
 #include <testing/support/json_http.h>
 #include <testing/support/options.h>
 
@@ -196,10 +195,7 @@
     const auto server = make_server([&all](const exchange_ptr& exchange) { all.handle(exchange); });
     const auto port = listen_or_exit(*server, options.at("listen"));
     std::cout << "port=" << port << "\nready" << std::endl;
-    runtime::main_loop* loop_pointer = nullptr;
-    runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(0); }};
-    loop_pointer = &loop;
-    return loop.run();
+    return run_until_stopped();
 }
 
 } // namespace
--- a/testing/standin_upstream/main.cpp
+++ b/testing/standin_upstream/main.cpp
@@ -9,7 +9,6 @@
 
 #include <iostream>
 #include <memory>
-#include <runtime/main_loop.h>
 #include <sstream>
 #include <testing/support/options.h>
 #include <vector>
@@ -95,10 +94,7 @@
         });
     const auto port = listen_or_exit(*server, options.at("control"));
     std::cout << "control port=" << port << "\nready" << std::endl;
-    runtime::main_loop* loop_pointer = nullptr;
-    runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(0); }};
-    loop_pointer = &loop;
-    return loop.run();
+    return run_until_stopped();
 }
 
 } // namespace
--- a/testing/support/json_http.cpp
+++ b/testing/support/json_http.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <runtime/main_loop.h>
 
 namespace chivewharf::testing_support {
 
@@ -28,4 +29,12 @@
     return *port;
 }
 
+int run_until_stopped()
+{
+    runtime::main_loop* loop_pointer = nullptr;
+    runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(0); }};
+    loop_pointer = &loop;
+    return loop.run();
+}
+
 } // namespace chivewharf::testing_support
--- a/testing/support/json_http.h
+++ b/testing/support/json_http.h
@@ -15,4 +15,8 @@
 /// \return the port
 std::uint16_t listen_or_exit(runtime::http_server& server, const std::string& address);
 
+/// Runs the main loop until SIGTERM or SIGINT.
+/// \return the exit code of the program
+int run_until_stopped();
+
 } // namespace chivewharf::testing_support
