--- a/apps/chivewharfd/main.cpp
+++ b/apps/chivewharfd/main.cpp
@@ -1,5 +1,7 @@
 // The daemon of an entry host.
 
+#include "platform_program.h"
+
 #include <daemon/entry_daemon.h>
 #include <getopt.h>
 #include <glog/logging.h>
@@ -12,16 +14,18 @@
 namespace {
 
 constexpr int exit_usage = 2;
-constexpr int exit_invalid_settings = 3;
 
 constexpr const char* usage_text =
     R"(usage: chivewharfd --host FILE --settings FILE [--overlay FILE] [--fixed] [--check]
+       chivewharfd --platform [--host FILE] [--check]
 
   --host FILE      settings of this process
   --settings FILE  base settings; they name the peers and the platform until a published
                    configuration is in force
   --overlay FILE   the site's overlay
   --fixed          use the files as the configuration and ignore the published one
+  --platform       run on the users' platform; its settings file is the one that the variable
+                   CHIVEWHARF_BOOT names, unless --host gives another
   --check          check the files and exit
   --help           show this text
   --version        show the version
@@ -35,6 +39,7 @@
     std::string overlay;
     bool fixed = false;
     bool check_only = false;
+    bool on_platform = false;
 };
 
 enum option_number {
@@ -43,6 +48,7 @@
     opt_overlay,
     opt_fixed,
     opt_check,
+    opt_platform,
     opt_help,
     opt_version
 };
@@ -52,6 +58,7 @@
                                    {"overlay", required_argument, nullptr, opt_overlay},
                                    {"fixed", no_argument, nullptr, opt_fixed},
                                    {"check", no_argument, nullptr, opt_check},
+                                   {"platform", no_argument, nullptr, opt_platform},
                                    {"help", no_argument, nullptr, opt_help},
                                    {"version", no_argument, nullptr, opt_version},
                                    {nullptr, 0, nullptr, 0}};
@@ -78,6 +85,9 @@
         case opt_check:
             line.check_only = true;
             break;
+        case opt_platform:
+            line.on_platform = true;
+            break;
         case opt_help:
             std::cout << usage_text;
             exit_code = 0;
@@ -92,7 +102,9 @@
             return std::nullopt;
         }
     }
-    if (line.host.empty() || line.base.empty() || optind != argc) {
+    const bool complete =
+        line.on_platform ? line.base.empty() : !line.host.empty() && !line.base.empty();
+    if (!complete || optind != argc) {
         std::cerr << usage_text;
         exit_code = exit_usage;
         return std::nullopt;
@@ -140,6 +152,8 @@
     const auto line = read_command_line(argc, argv, exit_code);
     if (!line)
         return exit_code;
+    if (line->on_platform)
+        return run_on_platform(argv[0], line->host, line->check_only);
     const auto loaded = load(*line);
     if (!loaded) {
         std::cerr << settings::to_text(loaded.error());
--- /dev/null
+++ b/apps/chivewharfd/platform_program.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace chivewharf {
+
+inline constexpr int exit_invalid_settings = 3;
+
+/// Runs the daemon on the users' platform.
+/// \param program name for the log library
+/// \param file settings file; empty for the one that the platform names
+/// \param check_only checks the settings and returns
+/// \return exit code: 0 planned stop, 1 failure, 3 invalid settings
+int run_on_platform(const char* program, const std::string& file, bool check_only);
+
+} // namespace chivewharf
--- a/cmake/chivewharf.cmake
+++ b/cmake/chivewharf.cmake
@@ -37,7 +37,7 @@
     target_link_libraries(chivewharf_${name} PUBLIC chivewharf_options ${arg_DEPENDS}
         ${arg_LIBRARIES})
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND CHIVEWHARF_DEVELOPMENT)
         chivewharf_test(${name}_test SOURCES ${tests} DEPENDS chivewharf_${name})
     endif()
 endfunction()
--- a/modules/base/base.h
+++ b/modules/base/base.h
@@ -9,6 +9,7 @@
 #include <base/digest.h>
 #include <base/enum_names.h>
 #include <base/log_line.h>
+#include <base/log_output.h>
 #include <base/reason.h>
 #include <base/result.h>
 #include <base/rng.h>
--- a/modules/daemon/daemon.h
+++ b/modules/daemon/daemon.h
@@ -4,14 +4,19 @@
 ///
 /// Purpose: HTTP for callers and upstreams, links to peers, the platform's client, the supervisor
 /// tree and the planned stop.
-/// Depends on: base, metrics, settings, dispatch, configlog, wire, runtime.
+/// Depends on: base, metrics, settings, dispatch, configlog, fleet, wire, runtime.
 ///
-/// Start reading at `entry_daemon`.
+/// Start reading at `entry_daemon`, the product's own deployment, or at `fleet_daemon`, the one on
+/// the users' platform.
 
+#include <daemon/caller_front.h>
 #include <daemon/caller_gateway.h>
 #include <daemon/core_loop.h>
 #include <daemon/entry_daemon.h>
+#include <daemon/fleet_daemon.h>
+#include <daemon/link_hub.h>
 #include <daemon/peer_gateway.h>
 #include <daemon/peer_link.h>
 #include <daemon/platform_gateway.h>
+#include <daemon/store_reader.h>
 #include <daemon/upstream_gateway.h>
--- /dev/null
+++ b/modules/daemon/fleet_daemon.cpp
@@ -0,0 +1,171 @@
+#include <daemon/fleet_daemon.h>
+
+#include <base/log_line.h>
+#include <base/log_output.h>
+#include <random>
+#include <utility>
+
+namespace chivewharf::daemon {
+
+namespace {
+
+constexpr duration tick_interval = milliseconds{20};
+/// A tick that is late by more than this is logged: the host was frozen or had no processor time.
+constexpr duration late_tick = milliseconds{300};
+/// The balancer asks once a second and gives up after two refusals, so connections arrive for this
+/// long after the host is not ready any more.
+constexpr duration balancer_notice = milliseconds{2200};
+
+std::uint64_t random_number()
+{
+    std::random_device source;
+    return (std::uint64_t{source()} << 32U) | source();
+}
+
+} // namespace
+
+fleet_daemon::fleet_daemon(settings::fleet_settings settings, fleet_adapters adapters,
+                           std::function<std::optional<settings::fleet_settings>()> reload)
+    : settings_{std::move(settings)}, adapters_{std::move(adapters)}, reload_{std::move(reload)},
+      life_{random_number()}, root_{"root"}, main_{[this](int count) { on_stop_signal(count); }}
+{
+    wire::hello greeting;
+    greeting.domain = settings_.domain;
+    greeting.host = settings_.host;
+    greeting.incarnation = life_;
+    links_ = std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_,
+                                        random_number());
+    core_ = std::make_unique<fleet::fleet_host>(
+        fleet::host_identity{settings_.host, settings_.domain, to_text(settings_.peers), life_},
+        settings_.domains, *adapters_.workers, *links_, *adapters_.callers, metrics_,
+        adapters_.config, boot_clock::now());
+    store_ = std::make_unique<store_reader>(*core_, *adapters_.store, adapters_.records, metrics_,
+                                            random_number());
+    adapters_.callers->attach(*core_);
+    connect_links();
+    main_.on_reload([this] { on_reload_signal(); });
+    root_.add(*links_);
+    root_.add(*store_);
+    root_.add(*adapters_.callers);
+}
+
+fleet_daemon::~fleet_daemon() = default;
+
+void fleet_daemon::connect_links()
+{
+    links_->set_seeds(settings_.seeds);
+    links_->on({[this](const std::string& host, const std::string& domain, std::uint64_t life) {
+                    core_->peer_linked(host, domain, life, boot_clock::now());
+                },
+                [this](const std::string& host) {
+                    core_->peer_unlinked(host, boot_clock::now());
+                },
+                [this](const std::string& host, const wire::message& message) {
+                    core_->peer_message(host, message, boot_clock::now());
+                },
+                [this] { return core_->unlinked_hosts(); }});
+}
+
+int fleet_daemon::run()
+{
+    log_line{"start"}
+        .add("host", settings_.host)
+        .add("domain", settings_.domain)
+        .add("life", life_)
+        .add("callers", to_text(settings_.callers))
+        .add("peers", to_text(settings_.peers))
+        .write();
+    auto started = root_.start([this](const runtime::runtime_error& error) {
+        log_line{"failed"}.add("message", error.message).error();
+        main_.quit(1);
+    });
+    if (!started) {
+        log_line{"start_failed"}.add("message", started.error().message).error();
+        return 1;
+    }
+    if (!start_metrics())
+        return 1;
+    last_tick_ = boot_clock::now();
+    tick_timer_.every(tick_interval, [this] { tick(); });
+    const int code = main_.run();
+    tick_timer_.cancel();
+    root_.stop();
+    log_line{"exit"}.add("code", code).write();
+    return code;
+}
+
+bool fleet_daemon::start_metrics()
+{
+    if (settings_.metrics_port == 0)
+        return true;
+    metrics_server_ = std::make_unique<runtime::http_server>(
+        runtime::http_limits{},
+        [this](const std::shared_ptr<runtime::http_exchange>& exchange) {
+            exchange->respond({200, metrics_text(), "text/plain; version=0.0.4", {}});
+        },
+        [](reason) { return runtime::http_response{503, {}, "text/plain", {}}; });
+    auto address = settings_.callers;
+    address.port = static_cast<std::uint16_t>(settings_.metrics_port);
+    const auto port = metrics_server_->listen(to_text(address));
+    if (!port)
+        log_line{"start_failed"}.add("message", port.error().message).error();
+    return port.has_value();
+}
+
+std::string fleet_daemon::metrics_text()
+{
+    metrics_.counter("chivewharf_log_lines_dropped_total") = dropped_log_lines();
+    return metrics_.prometheus_text();
+}
+
+void fleet_daemon::tick()
+{
+    const auto now = boot_clock::now();
+    const auto late = now - last_tick_ - tick_interval;
+    if (late > late_tick)
+        log_line{"tick_late"}.add("late_ms", to_ms(late)).write();
+    last_tick_ = now;
+    metrics_.histogram("chivewharf_tick_late_seconds").observe(late);
+    core_->tick(now);
+    if (stopping_)
+        check_stopped();
+}
+
+void fleet_daemon::on_stop_signal(int count)
+{
+    if (count > 1) {
+        log_line{"stop_at_once"}.add("open", std::uint64_t{adapters_.callers->unfinished()}).warn();
+        main_.quit(1);
+        return;
+    }
+    stopping_ = true;
+    stop_began_ = boot_clock::now();
+    log_line{"stop_begins"}.add("open", std::uint64_t{adapters_.callers->unfinished()}).write();
+    adapters_.callers->begin_closing();
+    core_->leave(stop_began_);
+}
+
+void fleet_daemon::on_reload_signal()
+{
+    const auto settings = reload_();
+    log_line{"reload"}.add("usable", settings ? "true" : "false").write();
+    if (!settings)
+        return;
+    settings_.seeds = settings->seeds;
+    links_->set_seeds(settings_.seeds);
+}
+
+void fleet_daemon::check_stopped()
+{
+    const auto since = boot_clock::now() - stop_began_;
+    const bool idle = core_->drained() && adapters_.callers->unfinished() == 0;
+    if (since < balancer_notice || (!idle && since < milliseconds{settings_.drain_ms}))
+        return;
+    log_line{"stopped"}
+        .add("idle", idle ? "true" : "false")
+        .add("open", std::uint64_t{adapters_.callers->unfinished()})
+        .write();
+    main_.quit(0);
+}
+
+} // namespace chivewharf::daemon
--- /dev/null
+++ b/modules/daemon/fleet_daemon.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <daemon/caller_front.h>
+#include <daemon/link_hub.h>
+#include <daemon/store_reader.h>
+#include <fleet/fleet_host.h>
+#include <functional>
+#include <memory>
+#include <metrics/registry.h>
+#include <runtime/http_server.h>
+#include <runtime/main_loop.h>
+#include <runtime/supervisor.h>
+#include <settings/fleet_settings.h>
+
+namespace chivewharf::daemon {
+
+/// What translates between the product and the platform.
+struct fleet_adapters {
+    std::unique_ptr<fleet::worker_port> workers;
+    std::unique_ptr<fleet::store_port> store;
+    std::unique_ptr<caller_front> callers;
+    record_decoders records;
+    fleet::fleet_host::config_decoder config;
+};
+
+/// Process of a host on the users' platform: the supervisor tree over callers, links and store, the
+/// ticks of the core, the metrics, and the planned stop.
+class fleet_daemon {
+public:
+    /// \param reload reads the settings again; none if they cannot be used
+    fleet_daemon(settings::fleet_settings settings, fleet_adapters adapters,
+                 std::function<std::optional<settings::fleet_settings>()> reload);
+    ~fleet_daemon();
+    fleet_daemon(const fleet_daemon&) = delete;
+    fleet_daemon& operator=(const fleet_daemon&) = delete;
+
+    /// Runs until it is stopped by a signal or fails.
+    /// \return exit code: 0 after a planned stop, 1 otherwise
+    int run();
+
+private:
+    void on_stop_signal(int count);
+    void on_reload_signal();
+    void connect_links();
+    void tick();
+    void check_stopped();
+    bool start_metrics();
+    std::string metrics_text();
+
+    settings::fleet_settings settings_;
+    fleet_adapters adapters_;
+    std::function<std::optional<settings::fleet_settings>()> reload_;
+    metrics::registry metrics_;
+    std::uint64_t life_;
+    std::unique_ptr<link_hub> links_;
+    std::unique_ptr<fleet::fleet_host> core_;
+    std::unique_ptr<store_reader> store_;
+    std::unique_ptr<runtime::http_server> metrics_server_;
+    runtime::supervisor root_;
+    runtime::main_loop main_;
+    runtime::timer tick_timer_;
+    time_point last_tick_{};
+    time_point stop_began_{};
+    bool stopping_ = false;
+};
+
+} // namespace chivewharf::daemon
--- /dev/null
+++ b/modules/fleet/domain_owner.cpp
@@ -0,0 +1,725 @@
+#include <fleet/domain_owner.h>
+
+#include <algorithm>
+#include <base/log_line.h>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+/// A job whose requester's link is lost is stopped after this time; a link that only broke is back
+/// sooner, and a caller whose host died sends the job again later.
+constexpr duration orphan_grace = milliseconds{300};
+constexpr duration check_interval = milliseconds{50};
+/// A run counts as hanging when it will take this many times as long as expected.
+constexpr double hanging_factor = 3.0;
+constexpr duration hanging_slack = milliseconds{150};
+/// Failures in a row after which a worker is avoided.
+constexpr std::uint32_t failures_to_avoid = 2;
+constexpr duration first_avoidance = seconds{2};
+constexpr duration longest_avoidance = seconds{8};
+/// Placing with this margin on the expected run time still meets the objective.
+constexpr double run_time_margin = 1.3;
+constexpr std::uint32_t retry_after_ms = 500;
+/// Raises the number of a run that a worker called stale.
+constexpr std::uint32_t stale_run_step = 8;
+
+} // namespace
+
+domain_owner::domain_owner(std::string domain, worker_port& port, metrics::registry& metrics,
+                           request_log& log, callbacks call)
+    : domain_{std::move(domain)}, port_{port}, metrics_{metrics}, log_{log}, call_{std::move(call)}
+{
+}
+
+domain_owner::~domain_owner()
+{
+    for (auto& [id, worker] : workers_)
+        worker.session->close();
+}
+
+void domain_owner::take(std::uint64_t token, bool wait_for_release, time_point now)
+{
+    token_ = token;
+    for (auto& [id, worker] : workers_) {
+        worker.with_predecessor = wait_for_release;
+        if (!wait_for_release)
+            worker.session->take(token, now);
+    }
+}
+
+void domain_owner::worker_released(const std::string& worker, time_point now)
+{
+    const auto found = workers_.find(worker);
+    if (found == workers_.end() || !found->second.with_predecessor)
+        return;
+    found->second.with_predecessor = false;
+    found->second.session->take(token_, now);
+}
+
+void domain_owner::predecessor_gone(time_point now)
+{
+    for (auto& [id, worker] : workers_) {
+        if (!std::exchange(worker.with_predecessor, false))
+            continue;
+        worker.session->take(token_, now);
+    }
+}
+
+void domain_owner::add_worker(const worker_entry& entry, time_point now)
+{
+    managed_worker added;
+    added.session = std::make_shared<worker_session>(entry, port_, *this);
+    auto& worker = workers_.insert_or_assign(entry.id, std::move(added)).first->second;
+    if (token_ != 0 && !leaving_)
+        worker.session->take(token_, now);
+}
+
+void domain_owner::update_workers(const std::vector<worker_entry>& workers, time_point now)
+{
+    std::set<std::string> listed;
+    for (const auto& entry : workers) {
+        if (entry.domain != domain_)
+            continue;
+        listed.insert(entry.id);
+        const auto found = workers_.find(entry.id);
+        if (found == workers_.end())
+            add_worker(entry, now);
+        else if (found->second.session->entry() != entry)
+            found->second.session->update(entry, now);
+    }
+    for (auto it = workers_.begin(); it != workers_.end();) {
+        // A worker with tasks stays until they have ended or their lease is over.
+        if (listed.contains(it->first) || !it->second.session->tasks().empty()) {
+            ++it;
+            continue;
+        }
+        it->second.session->close();
+        model_.forget(it->first);
+        it = workers_.erase(it);
+    }
+    schedule(now);
+}
+
+bool domain_owner::possible(const wire::job_order& order) const
+{
+    return std::all_of(order.steps.begin(), order.steps.end(), [&](const wire::job_step& step) {
+        const auto demand = demand_of(step);
+        return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
+            const auto& entry = one.second.session->entry();
+            return entry.service == order.service && entry.capacity.holds(demand) &&
+                   (step.required_label.empty() ||
+                    std::find(entry.labels.begin(), entry.labels.end(), step.required_label) !=
+                        entry.labels.end());
+        });
+    });
+}
+
+std::uint64_t domain_owner::capacity_milli() const
+{
+    std::uint64_t capacity = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.session->usable())
+            capacity += static_cast<std::uint64_t>(worker.session->entry().capacity.cpu_milli);
+    }
+    return capacity;
+}
+
+duration domain_owner::backlog_before(time_point latest_start) const
+{
+    const auto capacity = capacity_milli();
+    if (capacity == 0)
+        return seconds{10};
+    std::uint64_t work = 0;
+    for (const auto& one : waiting_) {
+        if (one.latest_start > latest_start)
+            break;
+        work += jobs_.at(one.job)->waiting_work();
+    }
+    return milliseconds{work / capacity};
+}
+
+duration domain_owner::backlog() const
+{
+    return backlog_before(time_point::max());
+}
+
+std::uint64_t domain_owner::free_milli() const
+{
+    std::uint64_t free = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.session->usable())
+            free += static_cast<std::uint64_t>(
+                std::max<std::int64_t>(worker.session->free().cpu_milli, 0));
+    }
+    return free;
+}
+
+std::size_t domain_owner::usable_workers() const
+{
+    return static_cast<std::size_t>(std::count_if(workers_.begin(), workers_.end(), [](auto& one) {
+        return one.second.session->usable();
+    }));
+}
+
+bool domain_owner::swept(time_point now) const
+{
+    return token_ != 0 && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
+               return !one.second.with_predecessor && one.second.session->swept(now);
+           });
+}
+
+time_point domain_owner::objective(const job_run& job) const
+{
+    const auto chain = model_.nominal(job.order.queue, job.chain_estimate());
+    return job.arrived + from_seconds(to_seconds(chain) * double{job.order.stretch}) +
+           milliseconds{job.order.target_ms};
+}
+
+time_point domain_owner::latest_start(const job_run& job) const
+{
+    return std::min(objective(job), job.deadline) -
+           model_.nominal(job.order.queue, job.chain_estimate());
+}
+
+void domain_owner::enqueue(const job_run& job)
+{
+    if (job.placeable() > 0)
+        waiting_.insert({latest_start(job), job.order.job});
+}
+
+void domain_owner::submit(wire::job_order order, const std::string& requester, time_point now)
+{
+    const auto known = jobs_.find(order.job);
+    if (known != jobs_.end()) {
+        auto& job = *known->second;
+        job.requester = requester;
+        job.order.attempt = order.attempt;
+        job.orphaned.reset();
+        job.deadline = now + milliseconds{order.remaining_ms};
+        return;
+    }
+    const wire::job_result refusal{order.job, order.attempt, wire::job_end::overloaded,
+                                   retry_after_ms};
+    auto refuse = [&](wire::job_end why) {
+        auto result = refusal;
+        result.end = why;
+        count_end(why);
+        if (log_.wanted(order.job, now))
+            log_line{"job_refused"}
+                .add("job", order.job)
+                .add("domain", domain_)
+                .add("why", to_name(why))
+                .add("waiting", std::uint64_t{waiting_.size()})
+                .add("free_milli", free_milli())
+                .add("usable_workers", std::uint64_t{usable_workers()})
+                .write();
+        call_.result(requester, result, now);
+    };
+    if (leaving_ || token_ == 0)
+        return refuse(wire::job_end::not_owner);
+    if (!possible(order))
+        return refuse(wire::job_end::impossible);
+    auto job = std::make_unique<job_run>(std::move(order), requester, now);
+    const auto start_by = latest_start(*job);
+    if (now + backlog_before(start_by) > start_by + milliseconds{job->order.target_ms} &&
+        !waiting_.empty()) {
+        order = std::move(job->order);
+        return refuse(wire::job_end::overloaded);
+    }
+    auto& added = *jobs_.emplace(job->order.job, std::move(job)).first->second;
+    enqueue(added);
+    schedule(now);
+}
+
+void domain_owner::changed(time_point now)
+{
+    schedule(now);
+}
+
+void domain_owner::schedule(time_point now)
+{
+    if (scheduling_ || leaving_)
+        return;
+    scheduling_ = true;
+    // A demand that found no room makes the search for a greater one of the same service needless.
+    std::map<std::string, std::int64_t> blocked;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        auto& job = *jobs_.at(it->job);
+        const auto least = std::min_element(
+            job.order.steps.begin(), job.order.steps.end(),
+            [](const auto& a, const auto& b) { return a.cpu_milli < b.cpu_milli; });
+        const auto found = blocked.find(job.order.service);
+        if (found != blocked.end() && least->cpu_milli >= found->second) {
+            ++it;
+            continue;
+        }
+        if (place(job, now)) {
+            it = waiting_.erase(it);
+            continue;
+        }
+        if (job.order.steps.size() == 1 && least->required_label.empty() && !least->gang &&
+            least->max_per_worker == 0)
+            blocked[job.order.service] = least->cpu_milli;
+        ++it;
+    }
+    scheduling_ = false;
+}
+
+bool domain_owner::place(job_run& job, time_point now)
+{
+    bool all = true;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        if (!job.step_ready(step))
+            continue;
+        if (job.order.steps[step].gang) {
+            all = place_gang(job, step, now) && all;
+            continue;
+        }
+        for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            if (job.steps[step].tasks[index].state != task_state::waiting)
+                continue;
+            if (!place_task(job, {step, index}, now)) {
+                all = false;
+                break;
+            }
+        }
+    }
+    return all;
+}
+
+bool domain_owner::place_gang(job_run& job, std::size_t step, time_point now)
+{
+    auto& tasks = job.steps[step].tasks;
+    if (job.steps[step].done == tasks.size() || job.steps[step].active > 0)
+        return true;
+    const auto demand = demand_of(job.order.steps[step]);
+    // Members start only when there is room for all of them.
+    std::map<std::string, std::size_t> planned;
+    std::size_t found = 0;
+    for (auto& [id, worker] : workers_) {
+        auto free = worker.session->free();
+        while (found < tasks.size() && free.holds(demand) &&
+               admits(worker, job, {step, found}, now) &&
+               (job.order.steps[step].max_per_worker == 0 ||
+                planned[id] < job.order.steps[step].max_per_worker)) {
+            free -= demand;
+            ++planned[id];
+            ++found;
+        }
+    }
+    if (found < tasks.size())
+        return false;
+    const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
+                         return a.run < b.run;
+                     })->run;
+    std::size_t index = 0;
+    for (const auto& [id, count] : planned) {
+        for (std::size_t i = 0; i < count; ++i, ++index) {
+            tasks[index].run = run;
+            order_start(job, {step, index}, workers_.at(id), now);
+        }
+    }
+    return true;
+}
+
+bool domain_owner::below_spread_limit(const job_run& job, task_place where,
+                                      const std::string& worker) const
+{
+    const auto limit = job.order.steps[where.step].max_per_worker;
+    if (limit == 0)
+        return true;
+    const auto& tasks = job.steps[where.step].tasks;
+    const auto there = std::count_if(tasks.begin(), tasks.end(), [&](const task_run& task) {
+        return task.state == task_state::active && task.worker == worker;
+    });
+    return static_cast<std::uint32_t>(there) < limit;
+}
+
+bool domain_owner::admits(const managed_worker& worker, const job_run& job, task_place where,
+                          time_point now) const
+{
+    const auto& session = *worker.session;
+    const auto& entry = session.entry();
+    const auto& step = job.order.steps[where.step];
+    return session.usable() && now >= worker.avoid_until && entry.service == job.order.service &&
+           session.free().holds(demand_of(step)) &&
+           (step.required_label.empty() ||
+            std::find(entry.labels.begin(), entry.labels.end(), step.required_label) !=
+                entry.labels.end()) &&
+           below_spread_limit(job, where, entry.id);
+}
+
+bool domain_owner::place_task(job_run& job, task_place where, time_point now)
+{
+    if (leftover_.contains(job.task_name(where)))
+        return false;
+    auto* worker = choose(job, where, demand_of(job.order.steps[where.step]), now);
+    if (worker == nullptr)
+        return false;
+    order_start(job, where, *worker, now);
+    return true;
+}
+
+domain_owner::managed_worker* domain_owner::choose(const job_run& job, task_place where,
+                                                   const room& spare, time_point now)
+{
+    const auto& step = job.order.steps[where.step];
+    const duration estimate = milliseconds{step.estimate_ms};
+    const auto goal = objective(job);
+    const auto& last_worker = job.steps[where.step].tasks[where.index].worker;
+    managed_worker* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto& [id, worker] : workers_) {
+        if (!admits(worker, job, where, now))
+            continue;
+        const auto expected = model_.expected(job.order.queue, estimate, id);
+        const auto finish = now + from_seconds(to_seconds(expected) * run_time_margin);
+        const auto left = worker.session->free().cpu_milli - spare.cpu_milli;
+        // A worker that meets the objective is best if it is slow and then full, so that fast ones
+        // stay free for long tasks. Otherwise the fastest is best.
+        double cost = to_seconds(expected);
+        if (finish <= goal)
+            cost = -1e3 + 100 * model_.speed(id) +
+                   static_cast<double>(left) /
+                       static_cast<double>(worker.session->entry().capacity.cpu_milli);
+        const auto& labels = worker.session->entry().labels;
+        if (!step.data_rack.empty() &&
+            std::find(labels.begin(), labels.end(), step.data_rack) == labels.end())
+            cost += 2 * to_seconds(expected);
+        if (id == last_worker)
+            cost += 1e4;
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = &worker;
+        }
+    }
+    return best;
+}
+
+void domain_owner::order_start(job_run& job, task_place where, managed_worker& worker,
+                               time_point now)
+{
+    auto& task = job.task(where);
+    auto& session = *worker.session;
+    ++task.run;
+    task.state = task_state::active;
+    task.worker = session.entry().id;
+    task.ordered = now;
+    ++job.steps[where.step].active;
+    job.started = true;
+    const auto name = job.task_name(where);
+    if (log_.wanted(job.order.job, now))
+        log_line{"task_start"}
+            .add("job", job.order.job)
+            .add("task", name)
+            .add("run", task.run)
+            .add("worker", task.worker)
+            .add("free_milli", session.free().cpu_milli)
+            .add("need_milli", std::int64_t{job.order.steps[where.step].cpu_milli})
+            .add("speed", model_.speed(task.worker))
+            .add("age_ms", to_ms(now - job.arrived))
+            .write();
+    ++metrics_.counter("chivewharf_task_starts_total");
+    session.start(name, task.run, demand_of(job.order.steps[where.step]), job.order.payload,
+                  task.saved, now);
+}
+
+void domain_owner::penalise(managed_worker& worker, std::string_view why, time_point now)
+{
+    worker.last_avoidance = worker.last_avoidance == duration{0}
+                                ? first_avoidance
+                                : std::min(worker.last_avoidance * 2, longest_avoidance);
+    worker.avoid_until = now + worker.last_avoidance;
+    ++metrics_.counter("chivewharf_worker_avoidances_total");
+    log_line{"worker_avoided"}
+        .add("worker", worker.session->entry().id)
+        .add("why", why)
+        .add("for_ms", to_ms(worker.last_avoidance))
+        .write();
+}
+
+void domain_owner::task_ended(worker_session& session, const held_task& held, task_end end,
+                              const std::string& saved, time_point now)
+{
+    ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
+    auto& worker = workers_.at(session.entry().id);
+    const auto job_id = held.task.substr(0, held.task.find('.'));
+    if (log_.wanted(job_id, now))
+        log_line{"task_end"}
+            .add("job", job_id)
+            .add("task", held.task)
+            .add("run", held.run)
+            .add("worker", session.entry().id)
+            .add("end", to_name(end))
+            .add("after_ms", to_ms(now - held.ordered))
+            .write();
+    if (end == task_end::done) {
+        worker.consecutive_failures = 0;
+        worker.last_avoidance = duration{0};
+    }
+    else if (end == task_end::failed && ++worker.consecutive_failures >= failures_to_avoid)
+        penalise(worker, "tasks fail", now);
+    leftover_.erase(held.task);
+    const auto found = jobs_.find(job_id);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    const auto where = job_run::place_of(held.task);
+    auto& task = job.task(where);
+    if (task.state != task_state::active || task.run != held.run)
+        return;
+    auto& step = job.steps[where.step];
+    --step.active;
+    if (!saved.empty())
+        task.saved = saved;
+    if (end == task_end::done) {
+        task.state = task_state::done;
+        ++step.done;
+        model_.observe(job.order.queue, milliseconds{job.order.steps[where.step].estimate_ms},
+                       task.worker, now - held.ordered);
+        if (job.order.steps[where.step].gang) {
+            // One member's success stands for all of them.
+            for (auto& member : step.tasks)
+                member.state = task_state::done;
+            step.done = static_cast<std::uint32_t>(step.tasks.size());
+            step.active = 0;
+        }
+        if (job.completed())
+            finish(job_id, wire::job_end::completed, now);
+        else
+            enqueue(job);
+        return;
+    }
+    task.state = task_state::waiting;
+    if (end == task_end::failed && ++task.failures >= job.order.max_attempts) {
+        finish(job_id, wire::job_end::failed, now);
+        return;
+    }
+    ++metrics_.counter("chivewharf_task_retries_total",
+                       "reason=\"" + std::string{to_name(end)} + '"');
+    enqueue(job);
+}
+
+void domain_owner::start_rejected(worker_session& session, const held_task& held,
+                                  order_outcome why, time_point now)
+{
+    ++metrics_.counter("chivewharf_start_rejections_total",
+                       "reason=\"" + std::string{to_name(why)} + '"');
+    if (why == order_outcome::refused || why == order_outcome::no_room)
+        penalise(workers_.at(session.entry().id), to_name(why), now);
+    leftover_.erase(held.task);
+    const auto job_id = held.task.substr(0, held.task.find('.'));
+    log_line{"start_rejected"}
+        .add("job", job_id)
+        .add("task", held.task)
+        .add("worker", session.entry().id)
+        .add("why", to_name(why))
+        .write();
+    const auto found = jobs_.find(job_id);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    const auto where = job_run::place_of(held.task);
+    auto& task = job.task(where);
+    if (task.state != task_state::active || task.run != held.run)
+        return;
+    task.state = task_state::waiting;
+    --job.steps[where.step].active;
+    if (why == order_outcome::stale_run)
+        task.run += stale_run_step;
+    enqueue(job);
+}
+
+void domain_owner::fenced(worker_session& /*worker*/, time_point now)
+{
+    call_.fenced(now);
+}
+
+void domain_owner::stop_tasks(const job_run& job, time_point now)
+{
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            const auto& task = job.steps[step].tasks[index];
+            if (task.state != task_state::active)
+                continue;
+            const auto worker = workers_.find(task.worker);
+            if (worker == workers_.end())
+                continue;
+            const auto name = job.task_name({step, index});
+            leftover_[name] = task.worker;
+            worker->second.session->stop(name, now);
+        }
+    }
+}
+
+void domain_owner::count_end(wire::job_end end)
+{
+    ++metrics_.counter("chivewharf_job_ends_total", "end=\"" + std::string{to_name(end)} + '"');
+}
+
+void domain_owner::finish(const std::string& id, wire::job_end end, time_point now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    const auto job = std::move(found->second);
+    jobs_.erase(found);
+    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
+    stop_tasks(*job, now);
+    count_end(end);
+    if (log_.wanted(id, now))
+        log_line{"job_end"}
+            .add("job", id)
+            .add("end", to_name(end))
+            .add("requester", job->requester)
+            .add("age_ms", to_ms(now - job->arrived))
+            .add("objective_ms", to_ms(objective(*job) - job->arrived))
+            .write();
+    call_.result(job->requester, {id, job->order.attempt, end, retry_after_ms}, now);
+}
+
+void domain_owner::cancel(const std::string& id, time_point now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    const auto job = std::move(found->second);
+    jobs_.erase(found);
+    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
+    stop_tasks(*job, now);
+    ++metrics_.counter("chivewharf_jobs_cancelled_total");
+    if (log_.wanted(id, now))
+        log_line{"job_cancelled"}
+            .add("job", id)
+            .add("age_ms", to_ms(now - job->arrived))
+            .add("started", job->started ? "true" : "false")
+            .write();
+}
+
+void domain_owner::requester_lost(const std::string& host, time_point now)
+{
+    for (auto& [id, job] : jobs_) {
+        if (job->requester == host && !job->orphaned)
+            job->orphaned = now;
+    }
+}
+
+void domain_owner::leave(time_point now)
+{
+    leaving_ = true;
+    std::vector<std::string> never_started;
+    for (const auto& [id, job] : jobs_) {
+        if (!job->started)
+            never_started.push_back(id);
+    }
+    for (const auto& id : never_started)
+        finish(id, wire::job_end::not_owner, now);
+    release_empty(now);
+}
+
+void domain_owner::release_empty(time_point now)
+{
+    // Jobs with tasks that still wait cannot be completed here; the requester sends them on.
+    std::vector<std::string> stuck;
+    for (const auto& [id, job] : jobs_) {
+        if (!job->any_active())
+            stuck.push_back(id);
+    }
+    for (const auto& id : stuck)
+        finish(id, wire::job_end::interrupted, now);
+    for (auto& [id, worker] : workers_) {
+        if (worker.released || !worker.session->tasks().empty())
+            continue;
+        worker.released = true;
+        worker.session->close();
+        call_.released(id);
+    }
+}
+
+bool domain_owner::released() const
+{
+    return leaving_ && std::all_of(workers_.begin(), workers_.end(),
+                                   [](const auto& one) { return one.second.released; });
+}
+
+void domain_owner::abandon(time_point now)
+{
+    leaving_ = true;
+    while (!jobs_.empty()) {
+        const auto& [id, job] = *jobs_.begin();
+        finish(std::string{id},
+               job->started ? wire::job_end::interrupted : wire::job_end::not_owner, now);
+    }
+    for (auto& [id, worker] : workers_)
+        worker.session->close();
+}
+
+void domain_owner::check_progress(time_point now)
+{
+    for (auto& [id, worker] : workers_) {
+        auto& session = *worker.session;
+        if (!session.answering())
+            continue;
+        for (const auto& [name, held] : session.tasks()) {
+            if (held.stopping || held.percent_at == time_point{})
+                continue;
+            const auto job = jobs_.find(held.task.substr(0, held.task.find('.')));
+            if (job == jobs_.end())
+                continue;
+            const auto where = job_run::place_of(name);
+            const duration estimate =
+                milliseconds{job->second->order.steps[where.step].estimate_ms};
+            const auto expected =
+                to_seconds(model_.nominal(job->second->order.queue, estimate));
+            const auto elapsed = to_seconds(held.percent_at - held.ordered);
+            const auto projected = elapsed * 100 / std::max(held.percent, 1);
+            if (elapsed < expected + to_seconds(hanging_slack) ||
+                projected < hanging_factor * expected + to_seconds(hanging_slack))
+                continue;
+            if (worker.avoid_until <= now)
+                penalise(worker, "task does not progress", now);
+            session.stop(std::string{name}, now);
+        }
+    }
+}
+
+void domain_owner::check_deadlines(time_point now)
+{
+    std::vector<std::pair<std::string, wire::job_end>> over;
+    std::vector<std::string> orphans;
+    for (const auto& [id, job] : jobs_) {
+        if (job->orphaned && now - *job->orphaned > orphan_grace)
+            orphans.push_back(id);
+        else if (now >= job->deadline)
+            over.emplace_back(id, job->started ? wire::job_end::expired
+                                               : wire::job_end::overloaded);
+        else if (!job->started && now > latest_start(*job))
+            over.emplace_back(id, wire::job_end::overloaded);
+    }
+    for (const auto& id : orphans)
+        cancel(id, now);
+    for (const auto& [id, end] : over)
+        finish(id, end, now);
+}
+
+void domain_owner::tick(time_point now)
+{
+    for (auto& [id, worker] : workers_)
+        worker.session->tick(now);
+    check_deadlines(now);
+    if (leaving_) {
+        release_empty(now);
+        return;
+    }
+    if (now >= next_check_) {
+        next_check_ = now + check_interval;
+        check_progress(now);
+    }
+    schedule(now);
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/domain_owner.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <base/time.h>
+#include <cstdint>
+#include <fleet/job_run.h>
+#include <fleet/ports.h>
+#include <fleet/request_log.h>
+#include <fleet/run_time_model.h>
+#include <fleet/types.h>
+#include <fleet/worker_session.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <metrics/registry.h>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivewharf::fleet {
+
+/// Orders all starts at the workers of one failure domain, while this host holds its claim: places
+/// the tasks of the jobs that hosts send, runs them again where they may, and reports results.
+class domain_owner final : public session_observer {
+public:
+    struct callbacks {
+        /// The result of a job, for the host that sent it.
+        std::function<void(const std::string& host, const wire::job_result& result, time_point now)>
+            result;
+        /// A worker refused this owner's token.
+        std::function<void(time_point now)> fenced;
+        /// This owner is leaving, and nothing runs on the worker any more.
+        std::function<void(const std::string& worker)> released;
+    };
+
+    domain_owner(std::string domain, worker_port& port, metrics::registry& metrics,
+                 request_log& log, callbacks call);
+    ~domain_owner() override;
+    domain_owner(const domain_owner&) = delete;
+    domain_owner& operator=(const domain_owner&) = delete;
+
+    /// Takes the workers under the token. Called again with a higher one after `fenced`.
+    /// \param wait_for_release workers stay with a leaving predecessor until it releases them
+    void take(std::uint64_t token, bool wait_for_release, time_point now);
+
+    /// The leaving predecessor has released the worker.
+    void worker_released(const std::string& worker, time_point now);
+
+    /// The predecessor is gone: its workers are taken now.
+    void predecessor_gone(time_point now);
+
+    /// Replaces the list of workers; entries of other domains are ignored.
+    void update_workers(const std::vector<worker_entry>& workers, time_point now);
+
+    /// Takes a job, or another attempt of one that it knows.
+    void submit(wire::job_order order, const std::string& requester, time_point now);
+
+    /// The caller of the job has left.
+    void cancel(const std::string& job, time_point now);
+
+    /// The link to a host is lost: its jobs are stopped unless it sends them again soon.
+    void requester_lost(const std::string& host, time_point now);
+
+    /// Starts nothing new and releases workers as they become empty.
+    void leave(time_point now);
+
+    bool leaving() const noexcept { return leaving_; }
+    /// True once every worker has been released.
+    bool released() const;
+
+    /// Ends the ownership at once; jobs end as `interrupted` or `not_owner`.
+    void abandon(time_point now);
+
+    void tick(time_point now);
+
+    /// True if nothing that a predecessor started can run any more.
+    bool swept(time_point now) const;
+
+    std::uint64_t free_milli() const;
+    duration backlog() const;
+    std::size_t jobs() const noexcept { return jobs_.size(); }
+    std::size_t workers() const noexcept { return workers_.size(); }
+    std::size_t usable_workers() const;
+
+    // session_observer
+    void task_ended(worker_session& worker, const held_task& task, task_end end,
+                    const std::string& saved, time_point now) override;
+    void start_rejected(worker_session& worker, const held_task& task, order_outcome why,
+                        time_point now) override;
+    void fenced(worker_session& worker, time_point now) override;
+    void changed(time_point now) override;
+
+private:
+    /// A worker with what the owner has learned of it.
+    struct managed_worker {
+        std::shared_ptr<worker_session> session;
+        bool with_predecessor = false;
+        bool released = false;
+        std::uint32_t consecutive_failures = 0;
+        time_point avoid_until{};
+        duration last_avoidance{};
+    };
+    struct waiting_job {
+        time_point latest_start;
+        std::string job;
+        auto operator<=>(const waiting_job&) const = default;
+    };
+    using job_map = std::map<std::string, std::unique_ptr<job_run>>;
+
+    void add_worker(const worker_entry& entry, time_point now);
+    bool possible(const wire::job_order& order) const;
+    duration backlog_before(time_point latest_start) const;
+    std::uint64_t capacity_milli() const;
+    time_point objective(const job_run& job) const;
+    time_point latest_start(const job_run& job) const;
+    void enqueue(const job_run& job);
+    void schedule(time_point now);
+    bool place(job_run& job, time_point now);
+    bool place_gang(job_run& job, std::size_t step, time_point now);
+    bool place_task(job_run& job, task_place where, time_point now);
+    managed_worker* choose(const job_run& job, task_place where, const room& spare,
+                           time_point now);
+    bool admits(const managed_worker& worker, const job_run& job, task_place where,
+                time_point now) const;
+    bool below_spread_limit(const job_run& job, task_place where, const std::string& worker) const;
+    void order_start(job_run& job, task_place where, managed_worker& worker, time_point now);
+    void penalise(managed_worker& worker, std::string_view why, time_point now);
+    void finish(const std::string& job, wire::job_end end, time_point now);
+    void stop_tasks(const job_run& job, time_point now);
+    void check_progress(time_point now);
+    void check_deadlines(time_point now);
+    void release_empty(time_point now);
+    void count_end(wire::job_end end);
+
+    std::string domain_;
+    worker_port& port_;
+    metrics::registry& metrics_;
+    request_log& log_;
+    callbacks call_;
+    run_time_model model_;
+    std::map<std::string, managed_worker> workers_;
+    job_map jobs_;
+    std::set<waiting_job> waiting_;
+    /// Tasks of jobs that are over, which may still be on a worker; none of them starts again.
+    std::map<std::string, std::string> leftover_; ///< worker by task
+    std::uint64_t token_ = 0;
+    time_point next_check_{};
+    bool leaving_ = false;
+    bool scheduling_ = false;
+};
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/host_directory.cpp
@@ -0,0 +1,81 @@
+#include <fleet/host_directory.h>
+
+namespace chivewharf::fleet {
+
+bool host_directory::learn(const wire::host_record& record, time_point now)
+{
+    const auto [place, added] = hosts_.try_emplace(record.host);
+    auto& host = place->second;
+    if (added)
+        host.changed = now;
+    if (!added && host.record == record)
+        return false;
+    host.record = record;
+    return true;
+}
+
+void host_directory::linked(const std::string& host, const std::string& domain, std::uint64_t life,
+                            time_point now)
+{
+    auto& one = hosts_[host];
+    one.record.host = host;
+    one.record.domain = domain;
+    if (one.life != life)
+        one.report.reset();
+    one.life = life;
+    one.linked = true;
+    one.changed = now;
+    one.heard = now;
+}
+
+void host_directory::unlinked(const std::string& host, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found == hosts_.end())
+        return;
+    found->second.linked = false;
+    found->second.changed = now;
+}
+
+void host_directory::report(const std::string& host, wire::host_report report, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found == hosts_.end())
+        return;
+    found->second.report = std::move(report);
+    found->second.heard = now;
+}
+
+bool host_directory::alive(const host_view& host, time_point now) const
+{
+    if (!host.report)
+        return false;
+    if (host.linked)
+        return now - host.heard < silence_limit;
+    return now - host.changed < reconnect_grace;
+}
+
+const host_view* host_directory::find(const std::string& host) const
+{
+    const auto found = hosts_.find(host);
+    return found == hosts_.end() ? nullptr : &found->second;
+}
+
+void host_directory::expire(time_point now)
+{
+    std::erase_if(hosts_, [&](const auto& one) {
+        return !one.second.linked && now - one.second.changed > forget_after;
+    });
+}
+
+std::vector<wire::host_record> host_directory::records() const
+{
+    std::vector<wire::host_record> all;
+    for (const auto& [name, host] : hosts_) {
+        if (!host.record.address.empty())
+            all.push_back(host.record);
+    }
+    return all;
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/job_router.cpp
@@ -0,0 +1,341 @@
+#include <fleet/job_router.h>
+
+#include <algorithm>
+#include <base/log_line.h>
+#include <fleet/host_directory.h>
+#include <fleet/worker_clock.h>
+#include <fleet/worker_session.h>
+#include <utility>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+/// After this time without a link, an owner has stopped the job or its leases are over: it notices
+/// the loss, waits for the link, and a worker whose owner is gone ends its tasks.
+constexpr duration unknown_limit = host_directory::silence_limit + milliseconds{300} +
+                                   worker_session::longest_lease + milliseconds{100};
+constexpr duration default_retry_after = milliseconds{500};
+/// Another domain is used only if its backlog is shorter than the home domain's by this much.
+constexpr duration spill_margin = milliseconds{20};
+
+} // namespace
+
+job_router::job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
+                       request_log& log, owners_function owners, send_function send)
+    : domain_{std::move(domain)}, callers_{callers}, metrics_{metrics}, log_{log},
+      owners_{std::move(owners)}, send_{std::move(send)}
+{
+}
+
+class job_router::busy_scope {
+public:
+    busy_scope(job_router& router, time_point now) : router_{router}, now_{now}
+    {
+        ++router_.busy_;
+    }
+    busy_scope(const busy_scope&) = delete;
+    busy_scope& operator=(const busy_scope&) = delete;
+    ~busy_scope()
+    {
+        while (router_.busy_ == 1 && !router_.early_results_.empty()) {
+            const auto results = std::exchange(router_.early_results_, {});
+            for (const auto& one : results)
+                router_.take_result(one.host, one.result, now_);
+        }
+        --router_.busy_;
+    }
+
+private:
+    job_router& router_;
+    time_point now_;
+};
+
+void job_router::submit(std::uint64_t request, wire::job_order order, time_point now)
+{
+    const busy_scope busy{*this, now};
+    const auto id = order.job;
+    job_by_request_[request] = id;
+    const auto known = jobs_.find(id);
+    if (known != jobs_.end()) {
+        known->second.requests.push_back(request);
+        return;
+    }
+    routed_job job;
+    job.requests.push_back(request);
+    job.arrived = now;
+    job.deadline = now + milliseconds{order.remaining_ms};
+    job.order = std::move(order);
+    auto& added = jobs_.emplace(id, std::move(job)).first->second;
+    if (log_.wanted(id, now)) {
+        std::uint64_t tasks = 0;
+        for (const auto& step : added.order.steps)
+            tasks += step.count;
+        log_line{"job_received"}
+            .add("job", id)
+            .add("queue", added.order.queue)
+            .add("service", added.order.service)
+            .add("tasks", tasks)
+            .add("remaining_ms", added.order.remaining_ms)
+            .write();
+    }
+    dispatch(added, now);
+}
+
+bool job_router::safe_at(const routed_job& job, const owner_view& owner, time_point now) const
+{
+    if (job.where != job_place::unknown)
+        return true;
+    return now - job.lost_at > unknown_limit ||
+           (owner.domain == job.owner.domain && owner.swept && owner.epoch > job.owner.epoch);
+}
+
+const owner_view* job_router::choose(const routed_job& job, const std::vector<owner_view>& owners,
+                                     time_point now) const
+{
+    const owner_view* best = nullptr;
+    duration best_cost{};
+    for (const auto& owner : owners) {
+        if (job.refused.contains(owner.domain) || !safe_at(job, owner, now))
+            continue;
+        duration cost = owner.backlog;
+        if (owner.domain != domain_)
+            cost += spill_margin;
+        if (best == nullptr || cost < best_cost) {
+            best = &owner;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+bool job_router::dispatch(routed_job& job, time_point now)
+{
+    const auto owners = owners_(now);
+    const auto* owner = choose(job, owners, now);
+    if (owner == nullptr)
+        return false;
+    send_to(job, *owner, now);
+    return true;
+}
+
+void job_router::send_to(routed_job& job, const owner_view& owner, time_point now)
+{
+    if (job.where == job_place::unknown) {
+        ++job.order.attempt;
+        ++metrics_.counter("chivewharf_job_resends_total", "reason=\"owner_lost\"");
+    }
+    job.where = job_place::sent;
+    job.owner = owner;
+    job.order.age_ms = static_cast<std::uint32_t>(to_ms(now - job.arrived));
+    job.order.remaining_ms =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(to_ms(job.deadline - now), 0));
+    if (log_.wanted(job.order.job, now))
+        log_line{"job_sent"}
+            .add("job", job.order.job)
+            .add("attempt", job.order.attempt)
+            .add("domain", owner.domain)
+            .add("owner", owner.host)
+            .add("epoch", owner.epoch)
+            .add("backlog_ms", to_ms(owner.backlog))
+            .add("age_ms", job.order.age_ms)
+            .write();
+    send_(owner.host, job.order, now);
+}
+
+time_point job_router::hold_limit(const routed_job& job) const
+{
+    double estimate_ms = 0;
+    for (const auto& step : job.order.steps)
+        estimate_ms += step.estimate_ms;
+    return job.arrived + milliseconds{job.order.target_ms} +
+           from_seconds(estimate_ms * std::max(double{job.order.stretch} - 1, 0.0) / 1000);
+}
+
+void job_router::refused(job_map::iterator place, wire::job_end why, duration retry_after,
+                         time_point now)
+{
+    auto& job = place->second;
+    job.where = job_place::unsent;
+    if (why != wire::job_end::not_owner)
+        job.refused.insert(job.owner.domain);
+    ++metrics_.counter("chivewharf_job_refusals_total",
+                       "reason=\"" + std::string{to_name(why)} + '"');
+    if (dispatch(job, now) || why == wire::job_end::not_owner)
+        return;
+    finish(place, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(why),
+           retry_after, now);
+}
+
+void job_router::result(const std::string& host, const wire::job_result& result, time_point now)
+{
+    if (busy_ > 0) {
+        early_results_.push_back({host, result});
+        return;
+    }
+    const busy_scope busy{*this, now};
+    take_result(host, result, now);
+}
+
+void job_router::take_result(const std::string& host, const wire::job_result& result,
+                             time_point now)
+{
+    const auto found = jobs_.find(result.job);
+    if (found == jobs_.end())
+        return;
+    auto& job = found->second;
+    if (job.where != job_place::sent || job.owner.host != host ||
+        job.order.attempt != result.attempt)
+        return;
+    const duration retry_after = milliseconds{result.retry_after_ms};
+    switch (result.end) {
+    case wire::job_end::completed:
+        finish(found, job_answer::completed, "completed", {}, now);
+        return;
+    case wire::job_end::failed:
+        finish(found, job_answer::failed, "attempts_used", {}, now);
+        return;
+    case wire::job_end::expired:
+        finish(found, job_answer::lost, "deadline", {}, now);
+        return;
+    case wire::job_end::interrupted:
+        job.may_have_run = true;
+        job.where = job_place::unsent;
+        ++job.order.attempt;
+        ++metrics_.counter("chivewharf_job_resends_total", "reason=\"interrupted\"");
+        dispatch(job, now);
+        return;
+    case wire::job_end::overloaded:
+    case wire::job_end::not_owner:
+    case wire::job_end::impossible:
+        refused(found, result.end, retry_after, now);
+        return;
+    }
+}
+
+void job_router::host_lost(const std::string& host, time_point now)
+{
+    for (auto& [id, job] : jobs_) {
+        if (job.where != job_place::sent || job.owner.host != host)
+            continue;
+        job.where = job_place::unknown;
+        job.may_have_run = true;
+        job.lost_at = now;
+        if (log_.wanted(id, now))
+            log_line{"job_owner_lost"}.add("job", id).add("owner", host).write();
+    }
+}
+
+void job_router::host_back(const std::string& host, std::uint64_t life, time_point now)
+{
+    const busy_scope busy{*this, now};
+    for (auto& [id, job] : jobs_) {
+        if (job.where != job_place::unknown || job.owner.host != host || job.owner.life != life)
+            continue;
+        // The same process knows the job, or knows what of it is still being stopped.
+        const auto owner = job.owner;
+        send_to(job, owner, now);
+    }
+}
+
+void job_router::finish(job_map::iterator place, job_answer answer, std::string_view why,
+                        duration retry_after, time_point now)
+{
+    const auto job = std::move(place->second);
+    jobs_.erase(place);
+    if (answer == job_answer::not_run && retry_after == duration{0})
+        retry_after = default_retry_after;
+    ++metrics_.counter("chivewharf_job_answers_total", "answer=\"" +
+                                                           std::string{to_name(answer)} +
+                                                           "\",reason=\"" + std::string{why} + '"');
+    metrics_.histogram("chivewharf_job_seconds").observe(now - job.arrived);
+    if (log_.wanted(job.order.job, now))
+        log_line{"job_answered"}
+            .add("job", job.order.job)
+            .add("queue", job.order.queue)
+            .add("answer", to_name(answer))
+            .add("why", why)
+            .add("attempt", job.order.attempt)
+            .add("owner", job.owner.host)
+            .add("age_ms", to_ms(now - job.arrived))
+            .write();
+    for (const auto request : job.requests) {
+        job_by_request_.erase(request);
+        callers_.answer(request, answer, retry_after);
+    }
+}
+
+void job_router::send_cancel(const routed_job& job, time_point now)
+{
+    if (job.where == job_place::sent)
+        send_(job.owner.host, wire::job_cancel{job.order.job, job.order.attempt}, now);
+}
+
+void job_router::caller_left(std::uint64_t request, time_point now)
+{
+    const auto found = job_by_request_.find(request);
+    if (found == job_by_request_.end())
+        return;
+    const auto id = found->second;
+    job_by_request_.erase(found);
+    const auto place = jobs_.find(id);
+    if (place == jobs_.end())
+        return;
+    std::erase(place->second.requests, request);
+    if (!place->second.requests.empty())
+        return;
+    ++metrics_.counter("chivewharf_callers_left_total");
+    if (log_.wanted(id, now))
+        log_line{"caller_left"}
+            .add("job", id)
+            .add("owner", place->second.owner.host)
+            .add("age_ms", to_ms(now - place->second.arrived))
+            .write();
+    send_cancel(place->second, now);
+    jobs_.erase(place);
+}
+
+bool job_router::cancel(const std::string& id, time_point now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return false;
+    send_cancel(found->second, now);
+    finish(found, job_answer::failed, "cancelled", {}, now);
+    return true;
+}
+
+std::size_t job_router::waiting(const std::string& queue) const
+{
+    return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& one) {
+        return one.second.order.queue == queue && one.second.where == job_place::unsent;
+    }));
+}
+
+void job_router::tick(time_point now)
+{
+    const busy_scope busy{*this, now};
+    std::vector<std::string> over;
+    for (auto& [id, job] : jobs_) {
+        if (now >= job.deadline) {
+            over.push_back(id);
+            continue;
+        }
+        if (job.where == job_place::sent || dispatch(job, now))
+            continue;
+        if (!job.may_have_run && now > hold_limit(job))
+            over.push_back(id);
+    }
+    for (const auto& id : over) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end())
+            continue;
+        const auto& job = found->second;
+        const bool not_run = job.where == job_place::unsent && !job.may_have_run;
+        send_cancel(job, now);
+        finish(found, not_run ? job_answer::not_run : job_answer::lost,
+               not_run ? "no_owner" : "deadline", {}, now);
+    }
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/job_router.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <base/time.h>
+#include <cstdint>
+#include <fleet/ports.h>
+#include <fleet/request_log.h>
+#include <functional>
+#include <map>
+#include <metrics/registry.h>
+#include <set>
+#include <string>
+#include <vector>
+#include <wire/messages.h>
+
+namespace chivewharf::fleet {
+
+/// An owner that jobs can be sent to.
+struct owner_view {
+    std::string domain;
+    std::string host;
+    std::uint64_t life = 0; ///< of its process
+    std::uint64_t epoch = 0;
+    bool swept = false;
+    std::uint64_t free_milli = 0;
+    duration backlog{};
+};
+
+/// Coordinates the jobs of the callers that reached this host: chooses the owner that runs each,
+/// sends it again where that is safe, and answers the caller once.
+class job_router {
+public:
+    using owners_function = std::function<std::vector<owner_view>(time_point now)>;
+    /// Sends to the owner on the given host, which may be this one. A result may come back before
+    /// the function returns.
+    using send_function =
+        std::function<void(const std::string& host, const wire::message&, time_point now)>;
+
+    job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
+               request_log& log, owners_function owners, send_function send);
+
+    /// Takes a caller's job. `order.remaining_ms` is the time that the caller waits.
+    void submit(std::uint64_t request, wire::job_order order, time_point now);
+
+    /// The caller has left, or has cancelled the job.
+    void caller_left(std::uint64_t request, time_point now);
+
+    /// Cancels a job by its id.
+    /// \return false if the job is not known here
+    bool cancel(const std::string& job, time_point now);
+
+    bool knows(const std::string& job) const { return jobs_.contains(job); }
+
+    /// Jobs of the queue that have not been answered.
+    std::size_t waiting(const std::string& queue) const;
+
+    void result(const std::string& host, const wire::job_result& result, time_point now);
+    void host_lost(const std::string& host, time_point now);
+    void host_back(const std::string& host, std::uint64_t life, time_point now);
+
+    /// Sends jobs that wait for an owner, and ends those whose time is over.
+    void tick(time_point now);
+
+    std::size_t jobs() const noexcept { return jobs_.size(); }
+
+private:
+    /// Where a job is.
+    ///  - `unsent`: no owner has it. `sent`: an owner has it.
+    ///  - `unknown`: the link to its owner is lost, and its tasks may run.
+    enum class job_place : std::uint8_t { unsent, sent, unknown };
+
+    struct routed_job {
+        std::vector<std::uint64_t> requests;
+        wire::job_order order;
+        time_point arrived;
+        time_point deadline;
+        job_place where = job_place::unsent;
+        owner_view owner; ///< that has, or had, the job
+        time_point lost_at{};
+        std::set<std::string> refused; ///< domains that refused it for want of room
+        bool may_have_run = false;
+    };
+    using job_map = std::map<std::string, routed_job>;
+    struct early_result {
+        std::string host;
+        wire::job_result result;
+    };
+    /// Keeps results that arrive while the table of jobs is walked until the walk is over.
+    class busy_scope;
+
+    void take_result(const std::string& host, const wire::job_result& result, time_point now);
+    bool safe_at(const routed_job& job, const owner_view& owner, time_point now) const;
+    const owner_view* choose(const routed_job& job, const std::vector<owner_view>& owners,
+                             time_point now) const;
+    bool dispatch(routed_job& job, time_point now);
+    void send_to(routed_job& job, const owner_view& owner, time_point now);
+    void refused(job_map::iterator job, wire::job_end why, duration retry_after, time_point now);
+    void finish(job_map::iterator job, job_answer answer, std::string_view why,
+                duration retry_after, time_point now);
+    time_point hold_limit(const routed_job& job) const;
+    void send_cancel(const routed_job& job, time_point now);
+
+    std::string domain_;
+    caller_port& callers_;
+    metrics::registry& metrics_;
+    request_log& log_;
+    owners_function owners_;
+    send_function send_;
+    job_map jobs_;
+    std::map<std::uint64_t, std::string> job_by_request_;
+    std::vector<early_result> early_results_;
+    int busy_ = 0;
+};
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/ports.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <array>
+#include <base/enum_names.h>
+#include <base/time.h>
+#include <cstdint>
+#include <fleet/topic_follower.h>
+#include <fleet/types.h>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+#include <wire/messages.h>
+
+namespace chivewharf::fleet {
+
+/// How a worker answered an order.
+///  - `accepted`: carried out, or done before.
+///  - `fenced`: the worker has seen a higher token.
+///  - `stale_run`: a run of the task with this number or a higher one has ended or been stopped.
+///  - `expired`: the order arrived after its expiry.
+///  - `no_room`, `refused`: the worker did nothing.
+///  - `other_life`: another worker answers at the address.
+///  - `unanswered`: the order may be carried out, now or later until its expiry.
+enum class order_outcome : std::uint8_t {
+    accepted,
+    fenced,
+    stale_run,
+    expired,
+    no_room,
+    refused,
+    other_life,
+    unanswered
+};
+
+/// Which worker an order is for.
+struct worker_address {
+    std::string id;
+    std::string address;
+};
+
+/// Starts a run of a task.
+struct start_order {
+    worker_address to;
+    std::uint64_t token = 0; ///< fencing token of the owner
+    std::string task;
+    std::uint32_t run = 1;
+    std::string payload;
+    std::string saved;               ///< progress of an earlier run; empty if there is none
+    std::int64_t expires_at_ms = 0; ///< on the worker's clock: the lease, and the order's own end
+};
+
+/// Ends a run of a task, or keeps it from being started.
+struct stop_order {
+    worker_address to;
+    std::uint64_t token = 0;
+    std::string task;
+    std::uint32_t run = 1;
+};
+
+/// Asks what runs and has ended, sets the token, and renews the lease.
+struct look_order {
+    worker_address to;
+    std::uint64_t token = 0;
+    std::uint64_t seen_end = 0; ///< number of the last end that was taken note of
+    std::optional<std::int64_t> expires_at_ms; ///< on the worker's clock; none renews nothing
+    duration wait{};                           ///< the worker answers earlier if a task ends
+};
+
+struct running_task {
+    std::string task;
+    std::uint32_t run = 0;
+    std::string saved;
+    int percent = 0;
+};
+
+struct ended_task {
+    std::uint64_t number = 0; ///< counts up from 1 within a life of the worker
+    std::string task;
+    std::uint32_t run = 0;
+    task_end end = task_end::done;
+    std::string saved;
+};
+
+/// Answer to a start or stop.
+struct order_reply {
+    order_outcome outcome = order_outcome::unanswered;
+    std::optional<std::int64_t> clock_ms; ///< the worker's clock
+    time_point received{};
+};
+
+/// Answer to a look. The lists hold only if it was accepted.
+struct look_reply {
+    order_outcome outcome = order_outcome::unanswered;
+    std::int64_t clock_ms = 0;
+    std::int64_t life = 0;
+    bool more_ends = false; ///< further ends have not been listed
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+    time_point received{};
+};
+
+/// Sends orders to workers. Each reply function is called exactly once, never from within the call.
+class worker_port {
+public:
+    worker_port() = default;
+    worker_port(const worker_port&) = delete;
+    worker_port& operator=(const worker_port&) = delete;
+    virtual ~worker_port() = default;
+
+    virtual void start(start_order order, std::function<void(const order_reply&)> reply) = 0;
+    virtual void stop(stop_order order, std::function<void(const order_reply&)> reply) = 0;
+    virtual void look(look_order order, std::function<void(look_reply)> reply) = 0;
+};
+
+/// Topics of the platform's store.
+///  - `configuration`, `workers`: written by operators and workers. `hosts`: where hosts can be
+///    reached, written by each for itself.
+enum class store_topic : std::uint8_t { configuration, workers, hosts };
+
+/// What came of a read.
+struct store_reply {
+    bool answered = false;
+    bool history_gone = false; ///< the records that were asked for have been deleted
+    bool more = false;         ///< further pages follow
+    std::uint64_t end = 0;     ///< offset after the topic's last record
+    std::vector<keyed_record> records;
+    std::string problem; ///< why it was not answered
+};
+
+/// Reads from and writes to the platform's store. Each reply function is called exactly once, never
+/// from within the call.
+class store_port {
+public:
+    store_port() = default;
+    store_port(const store_port&) = delete;
+    store_port& operator=(const store_port&) = delete;
+    virtual ~store_port() = default;
+
+    /// \param wait the store may keep a read from the end open for this long
+    virtual void read(store_topic topic, const topic_follower::request& what, duration wait,
+                      std::function<void(store_reply)> reply) = 0;
+
+    /// Publishes where this host can be reached.
+    /// \param reply gets a number that is unique among all hosts' records and greater than those
+    ///        before; none if the write was not answered
+    virtual void announce(const wire::host_record& self,
+                          std::function<void(std::optional<std::uint64_t>)> reply) = 0;
+};
+
+/// Sends messages to other hosts. A message to a host without a link is dropped.
+class peer_port {
+public:
+    peer_port() = default;
+    peer_port(const peer_port&) = delete;
+    peer_port& operator=(const peer_port&) = delete;
+    virtual ~peer_port() = default;
+
+    virtual void send(const std::string& host, const wire::message& message) = 0;
+
+    /// Closes the link to a host that has gone silent.
+    virtual void drop(const std::string& host) = 0;
+};
+
+/// What the caller of a job is told.
+///  - `completed`, `failed`: the job has run.
+///  - `not_run`: no task was or will be started; the caller may come back later.
+///  - `lost`: tasks may have been started, and their result is not known.
+enum class job_answer : std::uint8_t { completed, failed, not_run, lost };
+
+/// Answers callers.
+class caller_port {
+public:
+    caller_port() = default;
+    caller_port(const caller_port&) = delete;
+    caller_port& operator=(const caller_port&) = delete;
+    virtual ~caller_port() = default;
+
+    /// \param retry_after when to come back, for `not_run`
+    virtual void answer(std::uint64_t request, job_answer answer, duration retry_after) = 0;
+};
+
+} // namespace chivewharf::fleet
+
+template <>
+struct chivewharf::enum_names<chivewharf::fleet::order_outcome> {
+    static constexpr std::array<std::string_view, 8> names{
+        "accepted", "fenced", "stale_run", "expired", "no_room", "refused", "other_life",
+        "unanswered"};
+};
+
+template <>
+struct chivewharf::enum_names<chivewharf::fleet::store_topic> {
+    static constexpr std::array<std::string_view, 3> names{"configuration", "workers", "hosts"};
+};
+
+template <>
+struct chivewharf::enum_names<chivewharf::fleet::job_answer> {
+    static constexpr std::array<std::string_view, 4> names{"completed", "failed", "not_run",
+                                                           "lost"};
+};
--- /dev/null
+++ b/modules/fleet/run_time_model.cpp
@@ -0,0 +1,58 @@
+#include <fleet/run_time_model.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+/// Weights of one observation. Estimates of single jobs are off by some 40%, so a worker's speed
+/// needs about ten tasks; a queue sees many more.
+constexpr double speed_weight = 0.2;
+constexpr double ratio_weight = 0.02;
+/// Bounds of one observation's ratio, so that a single odd task cannot shift an average far.
+constexpr double least_ratio = 0.1;
+constexpr double greatest_ratio = 10;
+
+double value_or(const std::map<std::string, double>& table, const std::string& key)
+{
+    const auto found = table.find(key);
+    return found == table.end() ? 0.0 : found->second;
+}
+
+} // namespace
+
+double run_time_model::speed(const std::string& worker) const
+{
+    return std::exp(value_or(log_speed_, worker));
+}
+
+double run_time_model::queue_ratio(const std::string& queue) const
+{
+    return std::exp(value_or(log_ratio_, queue));
+}
+
+duration run_time_model::nominal(const std::string& queue, duration estimate) const
+{
+    return from_seconds(to_seconds(estimate) * queue_ratio(queue));
+}
+
+duration run_time_model::expected(const std::string& queue, duration estimate,
+                                  const std::string& worker) const
+{
+    return from_seconds(to_seconds(nominal(queue, estimate)) / speed(worker));
+}
+
+void run_time_model::observe(const std::string& queue, duration estimate,
+                             const std::string& worker, duration elapsed)
+{
+    if (estimate <= duration{0} || elapsed <= duration{0})
+        return;
+    const double ratio = std::clamp(to_seconds(elapsed) / to_seconds(expected(queue, estimate, worker)),
+                                    least_ratio, greatest_ratio);
+    log_speed_[worker] -= speed_weight * std::log(ratio);
+    log_ratio_[queue] += ratio_weight * std::log(ratio);
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/types.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <base/enum_names.h>
+#include <base/time.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+#include <wire/messages.h>
+
+namespace chivewharf::fleet {
+
+/// Amounts of a worker's processor, memory and accelerators.
+struct room {
+    std::int64_t cpu_milli = 0; ///< thousandths of a core
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    room& operator+=(const room& other) noexcept
+    {
+        cpu_milli += other.cpu_milli;
+        memory_mb += other.memory_mb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    room& operator-=(const room& other) noexcept
+    {
+        cpu_milli -= other.cpu_milli;
+        memory_mb -= other.memory_mb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+    /// True if the other amounts are available here.
+    bool holds(const room& other) const noexcept
+    {
+        return cpu_milli >= other.cpu_milli && memory_mb >= other.memory_mb &&
+               accelerators >= other.accelerators;
+    }
+    bool operator==(const room&) const = default;
+};
+
+/// What one task of the step occupies.
+inline room demand_of(const wire::job_step& step) noexcept
+{
+    return {step.cpu_milli, step.memory_mb, step.accelerators};
+}
+
+/// A worker as it is listed for discovery.
+struct worker_entry {
+    std::string id;
+    std::string address; ///< `IP:PORT`
+    std::string service;
+    std::string domain;
+    std::vector<std::string> labels;
+    room capacity;
+    std::int64_t life = 0; ///< distinguishes restarts under the same id; 0 if unknown
+    bool leaving = false;  ///< must not be given new tasks
+    bool operator==(const worker_entry&) const = default;
+};
+
+/// How a run of a task ended.
+///  - `done`: with success. `failed`: by the task's or the worker's fault.
+///  - `stopped`: on an order. `lapsed`: without a lease, or with its worker.
+///  - `broken`: because another member of its gang ended. `alone`: its gang was not complete in
+///    time.
+enum class task_end : std::uint8_t { done, failed, stopped, lapsed, broken, alone };
+
+} // namespace chivewharf::fleet
+
+template <>
+struct chivewharf::enum_names<chivewharf::fleet::task_end> {
+    static constexpr std::array<std::string_view, 6> names{"done",   "failed", "stopped",
+                                                           "lapsed", "broken", "alone"};
+};
--- a/modules/runtime/main_loop.cpp
+++ b/modules/runtime/main_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <glib-unix.h>
+#include <utility>
 
 namespace chivewharf::runtime {
 
@@ -18,9 +19,24 @@
 {
     g_source_remove(sigterm_source_);
     g_source_remove(sigint_source_);
+    if (sighup_source_ != 0)
+        g_source_remove(sighup_source_);
     g_main_loop_unref(loop_);
 }
 
+void main_loop::on_reload(std::function<void()> call)
+{
+    on_reload_ = std::move(call);
+    if (sighup_source_ == 0)
+        sighup_source_ = g_unix_signal_add(SIGHUP, &main_loop::reload_signalled, this);
+}
+
+gboolean main_loop::reload_signalled(gpointer self)
+{
+    static_cast<main_loop*>(self)->on_reload_();
+    return G_SOURCE_CONTINUE;
+}
+
 int main_loop::run()
 {
     g_main_loop_run(loop_);
--- a/modules/runtime/main_loop.h
+++ b/modules/runtime/main_loop.h
@@ -17,6 +17,9 @@
     main_loop& operator=(main_loop&&) = delete;
     ~main_loop();
 
+    /// Calls the function from the loop at each SIGHUP, which otherwise ends the process.
+    void on_reload(std::function<void()> call);
+
     /// Runs until `quit`.
     /// \return the exit code given to `quit`
     int run();
@@ -25,11 +28,14 @@
 
 private:
     static gboolean signalled(gpointer self);
+    static gboolean reload_signalled(gpointer self);
 
     GMainLoop* loop_;
     std::function<void(int)> on_signal_;
+    std::function<void()> on_reload_;
     guint sigterm_source_;
     guint sigint_source_;
+    guint sighup_source_ = 0;
     int signals_ = 0;
     int exit_code_ = 0;
 };
--- /dev/null
+++ b/modules/settings/fleet_settings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <base/result.h>
+#include <cstdint>
+#include <settings/document.h>
+#include <settings/endpoint.h>
+#include <string>
+#include <vector>
+
+namespace chivewharf::settings {
+
+/// Settings of a host on the users' platform. The platform renders them from
+/// `deploy/host.json.in` at every start and whenever they change.
+struct fleet_settings {
+    std::string host;
+    std::string domain;
+    std::vector<std::string> domains; ///< all failure domains, this host's among them
+    endpoint callers;                 ///< where callers' requests arrive
+    endpoint readiness;               ///< where the balancer asks
+    endpoint peers;                   ///< where other hosts connect
+    endpoint store;                   ///< of the platform
+    std::vector<std::string> seeds;   ///< peer addresses of some hosts; may be empty or stale
+    std::int64_t metrics_port = 0;    ///< 0 serves no metrics
+    std::int64_t drain_ms = 4000;     ///< longest time for open requests at a planned stop
+
+    bool operator==(const fleet_settings&) const = default;
+};
+
+/// Parses the document. Reports all faults at once.
+result<fleet_settings, settings_errors> parse_fleet(const document& local);
+
+} // namespace chivewharf::settings
--- a/modules/settings/settings.h
+++ b/modules/settings/settings.h
@@ -10,6 +10,7 @@
 #include <settings/cluster_settings.h>
 #include <settings/document.h>
 #include <settings/endpoint.h>
+#include <settings/fleet_settings.h>
 #include <settings/host_settings.h>
 #include <settings/settings_diff.h>
 #include <settings/settings_error.h>
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -181,6 +181,61 @@
     return fbs::Createload_report(b, b.CreateVector(entries));
 }
 
+auto write(FlatBufferBuilder& b, const job_step& m)
+{
+    return fbs::Createjob_step(b, m.count, m.cpu_milli, m.memory_mb, m.accelerators, m.estimate_ms,
+                               b.CreateVector(m.depends_on), m.gang, m.same_rack, m.saves_progress,
+                               m.max_per_worker, text(b, m.required_label), text(b, m.data_rack));
+}
+
+auto write(FlatBufferBuilder& b, const job_order& m)
+{
+    std::vector<Offset<fbs::job_step>> steps;
+    steps.reserve(m.steps.size());
+    for (const auto& one : m.steps)
+        steps.push_back(write(b, one));
+    return fbs::Createjob_order(b, text(b, m.job), m.attempt, text(b, m.queue), text(b, m.service),
+                                m.priority, m.max_attempts, m.stretch, m.target_ms, m.age_ms,
+                                m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps));
+}
+
+auto write(FlatBufferBuilder& b, const job_result& m)
+{
+    return fbs::Createjob_result(b, text(b, m.job), m.attempt, static_cast<std::uint8_t>(m.end),
+                                 m.retry_after_ms);
+}
+
+auto write(FlatBufferBuilder& b, const job_cancel& m)
+{
+    return fbs::Createjob_cancel(b, text(b, m.job), m.attempt);
+}
+
+auto write(FlatBufferBuilder& b, const host_report& m)
+{
+    std::vector<Offset<fbs::domain_claim>> claims;
+    claims.reserve(m.claims.size());
+    for (const auto& one : m.claims)
+        claims.push_back(fbs::Createdomain_claim(b, text(b, one.domain), one.epoch, one.swept,
+                                                 one.free_milli, one.backlog_ms));
+    return fbs::Createhost_report(b, m.fence_base, m.known_config, m.leaving, m.able,
+                                  b.CreateVector(claims));
+}
+
+auto write(FlatBufferBuilder& b, const host_records& m)
+{
+    std::vector<Offset<fbs::host_record>> hosts;
+    hosts.reserve(m.hosts.size());
+    for (const auto& one : m.hosts)
+        hosts.push_back(fbs::Createhost_record(b, text(b, one.host), text(b, one.domain),
+                                               text(b, one.address)));
+    return fbs::Createhost_records(b, b.CreateVector(hosts));
+}
+
+auto write(FlatBufferBuilder& b, const worker_release& m)
+{
+    return fbs::Createworker_release(b, text(b, m.domain), text(b, m.worker));
+}
+
 // Reading: one overload for each table. Each returns false if a field is absent or out of range.
 
 bool take(std::string& to, const flatbuffers::String* from)
@@ -429,6 +484,100 @@
     return true;
 }
 
+bool read(job_step& m, const fbs::job_step& t)
+{
+    m.count = t.count();
+    m.cpu_milli = t.cpu_milli();
+    m.memory_mb = t.memory_mb();
+    m.accelerators = t.accelerators();
+    m.estimate_ms = t.estimate_ms();
+    if (t.depends_on() != nullptr)
+        m.depends_on.assign(t.depends_on()->begin(), t.depends_on()->end());
+    m.gang = t.gang();
+    m.same_rack = t.same_rack();
+    m.saves_progress = t.saves_progress();
+    m.max_per_worker = t.max_per_worker();
+    return take_optional(m.required_label, t.required_label()) &&
+           take_optional(m.data_rack, t.data_rack());
+}
+
+bool read(job_order& m, const fbs::job_order& t)
+{
+    m.attempt = t.attempt();
+    m.priority = t.priority();
+    m.max_attempts = t.max_attempts();
+    m.stretch = t.stretch();
+    m.target_ms = t.target_ms();
+    m.age_ms = t.age_ms();
+    m.remaining_ms = t.remaining_ms();
+    if (t.steps() == nullptr || t.steps()->size() > max_job_steps)
+        return false;
+    for (const auto* one : *t.steps()) {
+        if (!read(m.steps.emplace_back(), *one))
+            return false;
+    }
+    return take(m.job, t.job()) && take(m.queue, t.queue()) && take(m.service, t.service()) &&
+           take(m.payload, t.payload());
+}
+
+bool read(job_result& m, const fbs::job_result& t)
+{
+    m.attempt = t.attempt();
+    m.retry_after_ms = t.retry_after_ms();
+    if (t.end() >= enum_count<job_end>)
+        return false;
+    m.end = static_cast<job_end>(t.end());
+    return take(m.job, t.job());
+}
+
+bool read(job_cancel& m, const fbs::job_cancel& t)
+{
+    m.attempt = t.attempt();
+    return take(m.job, t.job());
+}
+
+bool read(host_report& m, const fbs::host_report& t)
+{
+    m.fence_base = t.fence_base();
+    m.known_config = t.known_config();
+    m.leaving = t.leaving();
+    m.able = t.able();
+    if (t.claims() == nullptr)
+        return true;
+    if (t.claims()->size() > max_claims)
+        return false;
+    for (const auto* one : *t.claims()) {
+        auto& claim = m.claims.emplace_back();
+        claim.epoch = one->epoch();
+        claim.swept = one->swept();
+        claim.free_milli = one->free_milli();
+        claim.backlog_ms = one->backlog_ms();
+        if (!take(claim.domain, one->domain()))
+            return false;
+    }
+    return true;
+}
+
+bool read(host_records& m, const fbs::host_records& t)
+{
+    if (t.hosts() == nullptr)
+        return true;
+    if (t.hosts()->size() > max_report_entries)
+        return false;
+    for (const auto* one : *t.hosts()) {
+        auto& entry = m.hosts.emplace_back();
+        if (!take(entry.host, one->host()) || !take(entry.domain, one->domain()) ||
+            !take(entry.address, one->address()))
+            return false;
+    }
+    return true;
+}
+
+bool read(worker_release& m, const fbs::worker_release& t)
+{
+    return take(m.domain, t.domain()) && take(m.worker, t.worker());
+}
+
 using decoded = result<message, wire_error>;
 
 template <class Message, class Table>
@@ -467,6 +616,12 @@
     read_as<spill_task, fbs::spill_task>,
     read_as<spill_answer, fbs::spill_answer>,
     read_as<load_report, fbs::load_report>,
+    read_as<job_order, fbs::job_order>,
+    read_as<job_result, fbs::job_result>,
+    read_as<job_cancel, fbs::job_cancel>,
+    read_as<host_report, fbs::host_report>,
+    read_as<host_records, fbs::host_records>,
+    read_as<worker_release, fbs::worker_release>,
 };
 static_assert(static_cast<std::size_t>(fbs::body::MAX) == readers.size());
 
--- a/modules/wire/frame_codec.h
+++ b/modules/wire/frame_codec.h
@@ -26,6 +26,8 @@
 inline constexpr std::size_t max_lent_slots = 256;
 inline constexpr std::size_t max_slot_epochs = 64;
 inline constexpr std::size_t max_service_loads = 256;
+inline constexpr std::size_t max_job_steps = 256;
+inline constexpr std::size_t max_claims = 64;
 
 /// Frame of the message, with its length. The caller keeps to the limits above: a frame beyond
 /// them is refused by the peer's decoder.
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -236,11 +236,118 @@
     bool operator==(const load_report&) const = default;
 };
 
+/// A step of a job: tasks of the same size that may run at the same time.
+struct job_step {
+    std::uint32_t count = 0;
+    std::uint32_t cpu_milli = 0;    ///< thousandths of a core, for each task
+    std::uint32_t memory_mb = 0;    ///< for each task
+    std::uint32_t accelerators = 0; ///< for each task
+    std::uint32_t estimate_ms = 0;  ///< the caller's rough estimate of one task's run time
+    std::vector<std::uint32_t> depends_on; ///< earlier steps that must be complete, from 0
+    bool gang = false;                     ///< all tasks must run at the same time
+    bool same_rack = false;                ///< slower on more than one rack
+    bool saves_progress = false;
+    std::uint32_t max_per_worker = 0; ///< 0 is no limit
+    std::string required_label;       ///< empty: any worker
+    std::string data_rack;            ///< empty: no preference
+    bool operator==(const job_step&) const = default;
+};
+
+/// A job, sent by the host that its caller reached to the owner of a failure domain.
+struct job_order {
+    std::string job;
+    std::uint32_t attempt = 1; ///< rises each time the job is sent anew
+    std::string queue;
+    std::string service;
+    std::uint32_t priority = 0;     ///< 0 goes first
+    std::uint32_t max_attempts = 1; ///< failed runs of a task after which the job has failed
+    float stretch = 1;              ///< the objective is this times the run time, plus the target
+    std::uint32_t target_ms = 0;
+    std::uint32_t age_ms = 0;       ///< time since the caller's request arrived
+    std::uint32_t remaining_ms = 0; ///< time until the caller stops waiting
+    std::string payload;
+    std::vector<job_step> steps;
+    bool operator==(const job_order&) const = default;
+};
+
+/// How an owner's work on a job ended.
+///  - `completed`, `failed`: final; the job has run.
+///  - `overloaded`, `not_owner`, `impossible`: no task was started.
+///  - `interrupted`: tasks have been started, and none of them runs any more.
+///  - `expired`: the caller's time was over; tasks had been started.
+enum class job_end : std::uint8_t {
+    completed,
+    failed,
+    overloaded,
+    not_owner,
+    impossible,
+    interrupted,
+    expired
+};
+
+/// Result of a `job_order`.
+struct job_result {
+    std::string job;
+    std::uint32_t attempt = 1;
+    job_end end = job_end::completed;
+    std::uint32_t retry_after_ms = 0;
+    bool operator==(const job_result&) const = default;
+};
+
+/// The caller has left: the owner stops the job's tasks and sends no result.
+struct job_cancel {
+    std::string job;
+    std::uint32_t attempt = 1;
+    bool operator==(const job_cancel&) const = default;
+};
+
+/// The sender orders the starts at a failure domain's workers.
+struct domain_claim {
+    std::string domain;
+    std::uint64_t epoch = 0;
+    bool swept = false;            ///< nothing that a predecessor started runs any more
+    std::uint64_t free_milli = 0;  ///< free room of the usable workers, thousandths of a core
+    std::uint32_t backlog_ms = 0;  ///< time that the waiting work will take
+    bool operator==(const domain_claim&) const = default;
+};
+
+/// What a host tells every other host at short intervals.
+struct host_report {
+    std::uint64_t fence_base = 0; ///< 0 until the platform's log has given the host a number
+    std::uint64_t known_config = 0; ///< version of the newest configuration that the host has
+    bool leaving = false; ///< the host stops as planned: it claims nothing new
+    bool able = false;    ///< the host may claim a domain
+    std::vector<domain_claim> claims;
+    bool operator==(const host_report&) const = default;
+};
+
+/// Where a host can be reached.
+struct host_record {
+    std::string host;
+    std::string domain;
+    std::string address;
+    bool operator==(const host_record&) const = default;
+};
+
+/// Hosts that the sender knows.
+struct host_records {
+    std::vector<host_record> hosts;
+    bool operator==(const host_records&) const = default;
+};
+
+/// A leaving owner runs nothing on this worker any more and will order nothing there.
+struct worker_release {
+    std::string domain;
+    std::string worker;
+    bool operator==(const worker_release&) const = default;
+};
+
 /// Every message between entry hosts.
 using message = std::variant<hello, proof, ping, forward, forward_answer, heartbeat, member_report,
                              usage_average, slot_request, slot_grant, slot_return, promise_request,
                              promise, handover_records, config_version, config_request,
-                             config_record, spill_task, spill_answer, load_report>;
+                             config_record, spill_task, spill_answer, load_report, job_order,
+                             job_result, job_cancel, host_report, host_records, worker_release>;
 
 /// Name of the message's type, for logs and counters.
 std::string_view name_of(const message& m);
@@ -254,6 +361,12 @@
     static constexpr std::array<std::string_view, 3> names{"submit", "fetch", "cancel"};
 };
 
+template <>
+struct enum_names<wire::job_end> {
+    static constexpr std::array<std::string_view, 7> names{
+        "completed", "failed", "overloaded", "not_owner", "impossible", "interrupted", "expired"};
+};
+
 template <>
 struct enum_names<wire::member_state> {
     static constexpr std::array<std::string_view, 3> names{"live", "suspected", "removed"};
