--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -652,7 +652,7 @@
     while (!jobs_.empty()) {
         const auto& [id, job] = *jobs_.begin();
         finish(std::string{id},
-               job->started ? wire::job_end::interrupted : wire::job_end::not_owner, now);
+               job->started ? wire::job_end::abandoned : wire::job_end::not_owner, now);
     }
     for (auto& [id, worker] : workers_)
         worker.session->close();
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -139,14 +139,9 @@
 
 void fleet_host::take_order(const std::string& from, const wire::job_order& order, time_point now)
 {
-    // Of several owned domains, the one that knows the job, then the one with the most room.
-    domain_owner* best = nullptr;
-    for (auto& [domain, owned] : owned_) {
-        if (best == nullptr || owned.owner->free_milli() > best->free_milli())
-            best = owned.owner.get();
-    }
-    if (best != nullptr) {
-        best->submit(order, from, now);
+    const auto found = owned_.find(order.domain);
+    if (found != owned_.end()) {
+        found->second.owner->submit(order, from, now);
         return;
     }
     const wire::job_result refusal{order.job, order.attempt, wire::job_end::not_owner, 0};
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -15,6 +15,8 @@
 /// the loss, waits for the link, and a worker whose owner is gone ends its tasks.
 constexpr duration unknown_limit = host_directory::silence_limit + milliseconds{300} +
                                    worker_session::longest_lease + milliseconds{100};
+/// After this time, the tasks of an owner that has given up its claim have ended.
+constexpr duration abandoned_limit = worker_session::longest_lease + milliseconds{100};
 constexpr duration default_retry_after = milliseconds{500};
 /// Another domain is used only if its backlog is shorter than the home domain's by this much.
 constexpr duration spill_margin = milliseconds{20};
@@ -86,7 +88,7 @@
 {
     if (job.where != job_place::unknown)
         return true;
-    return now - job.lost_at > unknown_limit ||
+    return now > job.safe_after ||
            (owner.domain == job.owner.domain && owner.swept && owner.epoch > job.owner.epoch);
 }
 
@@ -127,6 +129,7 @@
     }
     job.where = job_place::sent;
     job.owner = owner;
+    job.order.domain = owner.domain;
     job.order.age_ms = static_cast<std::uint32_t>(to_ms(now - job.arrived));
     job.order.remaining_ms =
         static_cast<std::uint32_t>(std::max<std::int64_t>(to_ms(job.deadline - now), 0));
@@ -205,6 +208,12 @@
         ++metrics_.counter("chivewharf_job_resends_total", "reason=\"interrupted\"");
         dispatch(job, now);
         return;
+    case wire::job_end::abandoned:
+        job.may_have_run = true;
+        job.where = job_place::unknown;
+        job.safe_after = now + abandoned_limit;
+        dispatch(job, now);
+        return;
     case wire::job_end::overloaded:
     case wire::job_end::not_owner:
     case wire::job_end::impossible:
@@ -220,7 +229,7 @@
             continue;
         job.where = job_place::unknown;
         job.may_have_run = true;
-        job.lost_at = now;
+        job.safe_after = now + unknown_limit;
         if (log_.wanted(id, now))
             log_line{"job_owner_lost"}.add("job", id).add("owner", host).write();
     }
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -75,7 +75,7 @@
         time_point deadline;
         job_place where = job_place::unsent;
         owner_view owner; ///< that has, or had, the job
-        time_point lost_at{};
+        time_point safe_after{}; ///< when no task can run any more, while the place is unknown
         std::set<std::string> refused; ///< domains that refused it for want of room
         bool may_have_run = false;
     };
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -196,7 +196,8 @@
         steps.push_back(write(b, one));
     return fbs::Createjob_order(b, text(b, m.job), m.attempt, text(b, m.queue), text(b, m.service),
                                 m.priority, m.max_attempts, m.stretch, m.target_ms, m.age_ms,
-                                m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps));
+                                m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps),
+                                text(b, m.domain));
 }
 
 auto write(FlatBufferBuilder& b, const job_result& m)
@@ -517,7 +518,7 @@
             return false;
     }
     return take(m.job, t.job()) && take(m.queue, t.queue()) && take(m.service, t.service()) &&
-           take(m.payload, t.payload());
+           take(m.payload, t.payload()) && take(m.domain, t.domain());
 }
 
 bool read(job_result& m, const fbs::job_result& t)
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -267,6 +267,7 @@
     std::uint32_t remaining_ms = 0; ///< time until the caller stops waiting
     std::string payload;
     std::vector<job_step> steps;
+    std::string domain; ///< failure domain whose workers run the tasks
     bool operator==(const job_order&) const = default;
 };
 
@@ -274,6 +275,8 @@
 ///  - `completed`, `failed`: final; the job has run.
 ///  - `overloaded`, `not_owner`, `impossible`: no task was started.
 ///  - `interrupted`: tasks have been started, and none of them runs any more.
+///  - `abandoned`: tasks have been started and may run until their lease is over, or until the
+///    domain's next owner stops them.
 ///  - `expired`: the caller's time was over; tasks had been started.
 enum class job_end : std::uint8_t {
     completed,
@@ -282,6 +285,7 @@
     not_owner,
     impossible,
     interrupted,
+    abandoned,
     expired
 };
 
@@ -363,8 +367,9 @@
 
 template <>
 struct enum_names<wire::job_end> {
-    static constexpr std::array<std::string_view, 7> names{
-        "completed", "failed", "overloaded", "not_owner", "impossible", "interrupted", "expired"};
+    static constexpr std::array<std::string_view, 8> names{
+        "completed",  "failed",      "overloaded", "not_owner",
+        "impossible", "interrupted", "abandoned",  "expired"};
 };
 
 template <>
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -38,7 +38,7 @@
             spill_answer{1, 3, "why", blob},
             load_report{{{"plugdesk", 5}}},
             job_order{"a1", 2, "q", "s", 1, 3, 1.6F, 60, 5, 1500, blob,
-                      {{4, 27000, 64, 1, 900, {0, 1}, true, true, true, 2, "fast", "r1"}, {}}},
+                      {{4, 27000, 64, 1, 900, {0, 1}, true, true, true, 2, "fast", "r1"}, {}}, "rosyth"},
             job_result{"a1", 2, job_end::interrupted, 1000},
             job_cancel{"a1", 2},
             host_report{7, 8, true, true, {{"rosyth", 9, true, 64000, 12}}},
