Keep unsafe jobs apart through refusals, and own only with a known list of workers

TWICE: a restarted host claimed its domain before it had read the list of workers, called its empty list swept, and refused the job, which made the coordinator forget that tasks might run. LOST: a stopping host served connections up to its own limit of 4 s, so that a job sent after 3.3 s was cut; it now closes idle connections once the balancer has noticed, and waits 5.6 s for the rest.

--- a/modules/daemon/caller_front.h
+++ b/modules/daemon/caller_front.h
@@ -16,6 +16,9 @@
     /// connection.
     virtual void begin_closing() = 0;
 
+    /// Accepts nothing new and closes idle connections. May be called again.
+    virtual void close_idle() = 0;
+
     /// Requests whose responses are not written to their end.
     virtual std::size_t unfinished() const = 0;
 };
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -158,6 +158,8 @@
 void fleet_daemon::check_stopped()
 {
     const auto since = boot_clock::now() - stop_began_;
+    if (since >= balancer_notice)
+        adapters_.callers->close_idle();
     const bool idle = core_->drained() && adapters_.callers->unfinished() == 0;
     if (since < balancer_notice || (!idle && since < milliseconds{settings_.drain_ms}))
         return;
--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -109,6 +109,8 @@
         topic.follower.on_page(reply.records, reply.more, reply.end);
     else
         topic.follower.on_records(reply.records);
+    if (topic.topic == fleet::store_topic::workers && topic.follower.complete())
+        core_.workers_complete();
     const auto pause = plan_of(topic.topic).pause;
     const bool behind = topic.follower.next().newest || topic.follower.next().offset < reply.end;
     topic.next.once(behind ? duration{0} : pause, [this, &topic] { read(topic); });
--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -167,7 +167,7 @@
 
 bool domain_owner::swept(time_point now) const
 {
-    return token_ != 0 && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
+    return token_ != 0 && !workers_.empty() && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
                return !one.second.with_predecessor && one.second.session->swept(now);
            });
 }
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -282,8 +282,7 @@
 {
     std::vector<claim_candidate> all;
     const auto mine = owned_.find(domain);
-    all.push_back({self_.host, self_.domain == domain, config_current() && fence_base_ != 0,
-                   leaving_, fence_base_, mine == owned_.end() ? 0 : mine->second.epoch});
+    all.push_back({self_.host, self_.domain == domain, able(), leaving_, fence_base_, mine == owned_.end() ? 0 : mine->second.epoch});
     for (const auto& [name, host] : directory_.hosts()) {
         if (!directory_.alive(host, now))
             continue;
@@ -422,7 +421,7 @@
     told.fence_base = fence_base_;
     told.known_config = config_ ? config_->version : 0;
     told.leaving = leaving_;
-    told.able = config_current() && fence_base_ != 0 && !leaving_;
+    told.able = able() && !leaving_;
     for (const auto& [domain, owned] : owned_)
         told.claims.push_back({domain, owned.epoch, owned.owner->swept(now),
                                owned.owner->free_milli(),
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -68,6 +68,8 @@
     void config_read(const std::string& record, time_point now);
     void worker_listed(worker_entry entry) { workers_.put(std::move(entry)); }
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
+    /// Every listed worker has been read at least once: this host may claim domains.
+    void workers_complete() { workers_complete_ = true; }
     void host_listed(const wire::host_record& record, time_point now);
     void store_answered(bool answered, time_point now) { workers_.store_answered(answered, now); }
 
@@ -138,6 +140,7 @@
     void hand_over(time_point now);
     bool claimed_by_staying_host(const std::string& domain, time_point now) const;
     void drop_silent(time_point now);
+    bool able() const { return config_current() && workers_complete_ && fence_base_ != 0; }
     wire::host_report report(time_point now) const;
 
     host_identity self_;
@@ -159,6 +162,7 @@
     std::uint64_t fence_base_ = 0;
     time_point next_report_{};
     time_point leaving_since_{};
+    bool workers_complete_ = false;
     bool leaving_ = false;
 };
 
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -86,10 +86,18 @@
 
 bool job_router::safe_at(const routed_job& job, const owner_view& owner, time_point now) const
 {
-    if (job.where != job_place::unknown)
-        return true;
-    return now > job.safe_after ||
-           (owner.domain == job.owner.domain && owner.swept && owner.epoch > job.owner.epoch);
+    return !job.unsafe_owner || now > job.unsafe_until ||
+           (owner.domain == job.unsafe_owner->domain && owner.swept &&
+            owner.epoch > job.unsafe_owner->epoch);
+}
+
+void job_router::leave_unsafe(routed_job& job, time_point until)
+{
+    job.may_have_run = true;
+    job.where = job_place::unknown;
+    // A job that was unsafe before is so under both owners; the later end holds for any owner.
+    job.unsafe_until = job.unsafe_owner ? std::max(job.unsafe_until, until) : until;
+    job.unsafe_owner = job.owner;
 }
 
 const owner_view* job_router::choose(const routed_job& job, const std::vector<owner_view>& owners,
@@ -117,6 +125,7 @@
     const auto* owner = choose(job, owners, now);
     if (owner == nullptr)
         return false;
+    job.unsafe_owner.reset();
     send_to(job, *owner, now);
     return true;
 }
@@ -159,12 +168,12 @@
                          time_point now)
 {
     auto& job = place->second;
-    job.where = job_place::unsent;
+    job.where = job.unsafe_owner ? job_place::unknown : job_place::unsent;
     if (why != wire::job_end::not_owner)
         job.refused.insert(job.owner.domain);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(why)} + '"');
-    if (dispatch(job, now) || why == wire::job_end::not_owner)
+    if (dispatch(job, now) || why == wire::job_end::not_owner || job.unsafe_owner)
         return;
     finish(place, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(why),
            retry_after, now);
@@ -209,9 +218,7 @@
         dispatch(job, now);
         return;
     case wire::job_end::abandoned:
-        job.may_have_run = true;
-        job.where = job_place::unknown;
-        job.safe_after = now + abandoned_limit;
+        leave_unsafe(job, now + abandoned_limit);
         dispatch(job, now);
         return;
     case wire::job_end::overloaded:
@@ -227,9 +234,7 @@
     for (auto& [id, job] : jobs_) {
         if (job.where != job_place::sent || job.owner.host != host)
             continue;
-        job.where = job_place::unknown;
-        job.may_have_run = true;
-        job.safe_after = now + unknown_limit;
+        leave_unsafe(job, now + unknown_limit);
         if (log_.wanted(id, now))
             log_line{"job_owner_lost"}.add("job", id).add("owner", host).write();
     }
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <metrics/registry.h>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -75,7 +76,9 @@
         time_point deadline;
         job_place where = job_place::unsent;
         owner_view owner; ///< that has, or had, the job
-        time_point safe_after{}; ///< when no task can run any more, while the place is unknown
+        /// Owner under which tasks may still run, and until when; none if no task can run.
+        std::optional<owner_view> unsafe_owner;
+        time_point unsafe_until{};
         std::set<std::string> refused; ///< domains that refused it for want of room
         bool may_have_run = false;
     };
@@ -87,6 +90,7 @@
     /// Keeps results that arrive while the table of jobs is walked until the walk is over.
     class busy_scope;
 
+    static void leave_unsafe(routed_job& job, time_point until);
     void take_result(const std::string& host, const wire::job_result& result, time_point now);
     bool safe_at(const routed_job& job, const owner_view& owner, time_point now) const;
     const owner_view* choose(const routed_job& job, const std::vector<owner_view>& owners,
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -246,6 +246,19 @@
     static_cast<http_server*>(self)->handle_(exchange);
 }
 
+void http_server::close_idle()
+{
+    if (accept_source_ != nullptr) {
+        g_source_destroy(accept_source_);
+        g_source_unref(accept_source_);
+        accept_source_ = nullptr;
+    }
+    for (auto* open : connections_) {
+        if (!open->in_handler && !open->state->receiving)
+            g_socket_shutdown(open->socket.get(), TRUE, TRUE, nullptr);
+    }
+}
+
 void http_server::sweep()
 {
     const auto now = boot_clock::now();
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -53,6 +53,10 @@
     /// Replaces the limits; open connections are not closed.
     void set_limits(const http_limits& limits) { limits_ = limits; }
 
+    /// Accepts no further connections and closes those that are between two requests. Called again,
+    /// it closes those that have become idle since.
+    void close_idle();
+
     std::size_t open_connections() const noexcept { return connections_.size(); }
 
     /// Connections with a request whose response is not written to its end.
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -21,7 +21,7 @@
     endpoint store;                   ///< of the platform
     std::vector<std::string> seeds;   ///< peer addresses of some hosts; may be empty or stale
     std::int64_t metrics_port = 0;    ///< 0 serves no metrics
-    std::int64_t drain_ms = 4000;     ///< longest time for open requests at a planned stop
+    std::int64_t drain_ms = 5600;     ///< longest time for open requests at a planned stop
 
     bool operator==(const fleet_settings&) const = default;
 };
