--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -44,6 +44,7 @@
 void domain_owner::take(std::uint64_t token, bool wait_for_release, time_point now)
 {
     token_ = token;
+    suspended_ = false;
     for (auto& [id, worker] : workers_) {
         worker.with_predecessor = wait_for_release;
         if (!wait_for_release)
@@ -167,7 +168,7 @@
 
 bool domain_owner::swept(time_point now) const
 {
-    return token_ != 0 && !workers_.empty() && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
+    return token_ != 0 && !suspended_ && !workers_.empty() && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
                return !one.second.with_predecessor && one.second.session->swept(now);
            });
 }
@@ -219,7 +220,7 @@
                 .write();
         call_.result(requester, result, now);
     };
-    if (leaving_ || token_ == 0)
+    if (leaving_ || suspended_ || token_ == 0)
         return refuse(wire::job_end::not_owner);
     if (!possible(order))
         return refuse(wire::job_end::impossible);
@@ -242,7 +243,7 @@
 
 void domain_owner::schedule(time_point now)
 {
-    if (scheduling_ || leaving_)
+    if (scheduling_ || leaving_ || suspended_)
         return;
     scheduling_ = true;
     // A demand that found no room makes the search for a greater one of the same service needless.
@@ -536,9 +537,22 @@
 
 void domain_owner::fenced(worker_session& /*worker*/, time_point now)
 {
+    // Another owner sweeps the domain, and coordinators may already send its jobs elsewhere: what
+    // has been started must not start again under a later token of this owner.
+    if (!std::exchange(suspended_, true))
+        end_all_jobs(now);
     call_.fenced(now);
 }
 
+void domain_owner::end_all_jobs(time_point now)
+{
+    std::vector<std::pair<std::string, wire::job_end>> all;
+    for (const auto& [id, job] : jobs_)
+        all.emplace_back(id, job->started ? wire::job_end::abandoned : wire::job_end::not_owner);
+    for (const auto& [id, end] : all)
+        finish(id, end, now);
+}
+
 void domain_owner::stop_tasks(const job_run& job, time_point now)
 {
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
@@ -649,11 +663,7 @@
 void domain_owner::abandon(time_point now)
 {
     leaving_ = true;
-    while (!jobs_.empty()) {
-        const auto& [id, job] = *jobs_.begin();
-        finish(std::string{id},
-               job->started ? wire::job_end::abandoned : wire::job_end::not_owner, now);
-    }
+    end_all_jobs(now);
     for (auto& [id, worker] : workers_)
         worker.session->close();
 }
--- a/modules/fleet/domain_owner.h
+++ b/modules/fleet/domain_owner.h
@@ -126,6 +126,7 @@
     void order_start(job_run& job, task_place where, managed_worker& worker, time_point now);
     void penalise(managed_worker& worker, std::string_view why, time_point now);
     void finish(const std::string& job, wire::job_end end, time_point now);
+    void end_all_jobs(time_point now);
     void stop_tasks(const job_run& job, time_point now);
     void check_progress(time_point now);
     void check_deadlines(time_point now);
@@ -145,6 +146,7 @@
     std::map<std::string, std::string> leftover_; ///< worker by task
     std::uint64_t token_ = 0;
     time_point next_check_{};
+    bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
     bool leaving_ = false;
     bool scheduling_ = false;
 };
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -252,7 +252,7 @@
 {
     std::vector<owner_view> all;
     for (const auto& [domain, owned] : owned_) {
-        if (!owned.owner->leaving())
+        if (!owned.owner->leaving() && !owned.fenced)
             all.push_back({domain, self_.host, self_.life, owned.epoch, owned.owner->swept(now),
                            owned.owner->free_milli(), owned.owner->backlog()});
     }
--- /dev/null
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -0,0 +1,754 @@
+#include "fleet_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+constexpr duration hop = std::chrono::microseconds{300};
+constexpr duration order_timeout = milliseconds{250};
+constexpr duration tick_interval = milliseconds{20};
+constexpr duration resend_after = milliseconds{1300};
+constexpr duration store_interval = milliseconds{500};
+constexpr std::int64_t longest_lease_ms = 1000;
+
+std::string config_text(std::uint64_t version)
+{
+    return std::to_string(version);
+}
+
+result<cluster_config, std::string> decode_config(const std::string& record)
+{
+    cluster_config config;
+    config.version = std::stoull(record);
+    config.record = record;
+    queue_config queue;
+    queue.name = "checks";
+    queue.host = "h";
+    queue.prefix = "/checks/";
+    queue.service = "desk";
+    queue.max_attempts = 3;
+    queue.stretch = 1.6F;
+    queue.target = milliseconds{60};
+    config.queues.push_back(queue);
+    return config;
+}
+
+} // namespace
+
+std::int64_t sim_worker::clock(time_point now) const
+{
+    return static_cast<std::int64_t>(to_seconds(now - born) * 1000 * clock_rate);
+}
+
+void sim_worker::end(const std::string& task, task_end how)
+{
+    const auto found = running.find(task);
+    ended.push_back({++ends, task, found->second.run, how, {}});
+    auto& highest = stopped[task];
+    highest = std::max(highest, found->second.run);
+    running.erase(found);
+}
+
+class sim_worker_port final : public worker_port {
+public:
+    sim_worker_port(fleet_world& world, std::string host, std::uint64_t life)
+        : world_{world}, host_{std::move(host)}, life_{life}
+    {
+    }
+
+    void start(start_order order, std::function<void(const order_reply&)> reply) override
+    {
+        send(std::move(order), std::move(reply), &fleet_world::start_on);
+    }
+
+    void stop(stop_order order, std::function<void(const order_reply&)> reply) override
+    {
+        send(std::move(order), std::move(reply), &fleet_world::stop_on);
+    }
+
+    void look(look_order order, std::function<void(look_reply)> reply) override
+    {
+        auto& world = world_;
+        const auto id = order.to.id;
+        const auto limit = world.now_ + order.wait + order_timeout;
+        auto answer = [&world, host = host_, life = life_, reply](look_reply got) {
+            world.deliver(host, life, [&world, reply, got]() mutable {
+                got.received = world.now_;
+                reply(got);
+            });
+        };
+        world.schedule(world.now_ + hop, [&world, host = host_, life = life_, id, order, answer,
+                                          limit] {
+            auto& worker = world.workers_.at(id);
+            if (!world.reachable(host, worker)) {
+                world.schedule(limit, [answer] { answer({}); });
+                return;
+            }
+            auto got = world.look_at(worker, order);
+            if (got.outcome != order_outcome::accepted || !got.ended.empty() ||
+                order.wait == duration{0}) {
+                world.schedule(world.now_ + hop, [answer, got] { answer(got); });
+                return;
+            }
+            world.looks_[id].push_back(
+                {host, life, order, world.now_ + order.wait, [answer](look_reply one) {
+                     answer(std::move(one));
+                 }});
+            world.schedule(world.now_ + order.wait, [&world, id] { world.answer_looks(id); });
+        });
+    }
+
+private:
+    template <class Order>
+    void send(Order order, std::function<void(const order_reply&)> reply,
+              void (fleet_world::*carry_out)(sim_worker&, const Order&, order_reply&))
+    {
+        auto& world = world_;
+        const auto limit = world.now_ + order_timeout;
+        auto answer = [&world, host = host_, life = life_, reply](order_reply got) {
+            world.deliver(host, life, [&world, reply, got]() mutable {
+                got.received = world.now_;
+                reply(got);
+            });
+        };
+        const auto& worker = world.workers_.at(order.to.id);
+        if (uniform(world.random_) < worker.fault.late_orders) {
+            const auto late = seconds{2} + uniform_duration(world.random_, seconds{10});
+            // The worker keeps the order meanwhile, so a restart loses it.
+            world.schedule(world.now_ + late, [&world, order, carry_out, life = worker.life] {
+                order_reply ignored;
+                auto& holder = world.workers_.at(order.to.id);
+                if (holder.life == life)
+                    (world.*carry_out)(holder, order, ignored);
+            });
+            world.schedule(limit, [answer] { answer({}); });
+            return;
+        }
+        const bool lost = uniform(world.random_) < worker.fault.lost_answers;
+        world.schedule(world.now_ + hop + uniform_duration(world.random_, hop),
+                       [&world, host = host_, order, carry_out, answer, limit, lost] {
+                           auto& to = world.workers_.at(order.to.id);
+                           if (!world.reachable(host, to)) {
+                               world.schedule(limit, [answer] { answer({}); });
+                               return;
+                           }
+                           order_reply got;
+                           (world.*carry_out)(to, order, got);
+                           if (lost)
+                               world.schedule(limit, [answer] { answer({}); });
+                           else
+                               world.schedule(world.now_ + hop, [answer, got] { answer(got); });
+                       });
+    }
+
+    fleet_world& world_;
+    std::string host_;
+    std::uint64_t life_;
+};
+
+class sim_peer_port final : public peer_port {
+public:
+    sim_peer_port(fleet_world& world, std::string host) : world_{world}, host_{std::move(host)} {}
+
+    void send(const std::string& to, const wire::message& message) override;
+    void drop(const std::string& to) override { world_.unlink(host_, to); }
+
+private:
+    fleet_world& world_;
+    std::string host_;
+};
+
+class sim_caller_port final : public caller_port {
+public:
+    explicit sim_caller_port(fleet_world& world) : world_{world} {}
+
+    void answer(std::uint64_t request, job_answer answer, duration /*retry_after*/) override
+    {
+        const auto found = jobs.find(request);
+        if (found == jobs.end())
+            return;
+        const auto job = found->second;
+        jobs.erase(found);
+        world_.answered(job, to_name(answer));
+    }
+
+    std::map<std::uint64_t, std::string> jobs; ///< by request
+
+private:
+    fleet_world& world_;
+};
+
+struct fleet_world::sim_host {
+    std::string name;
+    std::string domain;
+    std::uint64_t life = 0;
+    bool alive = false;
+    bool frozen = false;
+    std::uint64_t shown_config = 0;
+    std::uint64_t next_request = 1;
+    std::set<std::string> linked;
+    std::vector<std::function<void()>> backlog;
+    std::unique_ptr<metrics::registry> metrics;
+    std::unique_ptr<sim_worker_port> workers;
+    std::unique_ptr<sim_peer_port> peers;
+    std::unique_ptr<sim_caller_port> callers;
+    std::unique_ptr<fleet_host> core;
+    /// Processes that have ended. Replies on their way may still hold their sessions.
+    std::vector<std::unique_ptr<fleet_host>> ended;
+};
+
+void sim_peer_port::send(const std::string& to, const wire::message& message)
+{
+    auto& world = world_;
+    const auto& from = *world.hosts_.at(host_);
+    const auto& target = *world.hosts_.at(to);
+    if (!from.linked.contains(to))
+        return;
+    world.schedule(world.now_ + hop, [&world, host = host_, to, message, life = target.life,
+                                      from_life = from.life] {
+        if (world.cut_hosts_.contains(std::minmax(host, to)) ||
+            world.hosts_.at(host)->life != from_life)
+            return;
+        world.deliver(to, life, [&world, host, to, message] {
+            auto& receiver = *world.hosts_.at(to);
+            if (receiver.linked.contains(host))
+                receiver.core->peer_message(host, message, world.now_);
+        });
+    });
+}
+
+fleet_world::fleet_world(options chosen)
+    : options_{std::move(chosen)}, random_{options_.seed}, now_{seconds{1000}}
+{
+    for (std::size_t domain = 0; domain < options_.hosts.size(); ++domain) {
+        const auto name = "domain-" + std::to_string(domain);
+        for (unsigned i = 0; i < options_.hosts[domain]; ++i) {
+            auto host = std::make_unique<sim_host>();
+            host->name = "host-" + std::to_string(domain) + "-" + std::to_string(i);
+            host->domain = name;
+            hosts_.emplace(host->name, std::move(host));
+        }
+        for (unsigned i = 0; i < options_.workers; ++i) {
+            sim_worker worker;
+            worker.entry = {"w-" + std::to_string(domain) + "-" + std::to_string(i),
+                            "10.0.0.1:1",
+                            "desk",
+                            name,
+                            {},
+                            {i % 3 == 2 ? 96000 : 64000, 131072, 0},
+                            1,
+                            false};
+            worker.clock_rate = 0.98 + 0.02 * uniform(random_);
+            worker.speed = i % 3 == 0 ? 0.6 : i % 3 == 1 ? 1.0 : 1.6;
+            worker.born = now_ - seconds{100};
+            workers_.emplace(worker.entry.id, std::move(worker));
+        }
+    }
+    for (const auto& [name, host] : hosts_)
+        boot(name);
+    schedule(now_ + milliseconds{150}, [this] { link_hosts(); });
+}
+
+fleet_world::~fleet_world() = default;
+
+void fleet_world::schedule(time_point when, std::function<void()> call)
+{
+    queue_.push({when, ++events_, std::move(call)});
+}
+
+void fleet_world::at(duration in, std::function<void()> call)
+{
+    schedule(now_ + in, std::move(call));
+}
+
+void fleet_world::run_for(duration time)
+{
+    const auto end = now_ + time;
+    while (!queue_.empty() && queue_.top().at <= end) {
+        auto next = queue_.top();
+        queue_.pop();
+        now_ = next.at;
+        next.call();
+    }
+    now_ = end;
+}
+
+void fleet_world::deliver(const std::string& name, std::uint64_t life, std::function<void()> call)
+{
+    auto& host = *hosts_.at(name);
+    if (!host.alive || host.life != life)
+        return;
+    if (host.frozen)
+        host.backlog.push_back(std::move(call));
+    else
+        call();
+}
+
+void fleet_world::boot(const std::string& name)
+{
+    auto& host = *hosts_.at(name);
+    if (host.alive)
+        return;
+    if (host.core)
+        host.ended.push_back(std::move(host.core));
+    host.life = next_life_++;
+    host.alive = true;
+    host.frozen = false;
+    host.shown_config = 0;
+    host.backlog.clear();
+    host.linked.clear();
+    host.metrics = std::make_unique<metrics::registry>();
+    host.workers = std::make_unique<sim_worker_port>(*this, name, host.life);
+    host.peers = std::make_unique<sim_peer_port>(*this, name);
+    host.callers = std::make_unique<sim_caller_port>(*this);
+    std::vector<std::string> domains;
+    for (std::size_t i = 0; i < options_.hosts.size(); ++i)
+        domains.push_back("domain-" + std::to_string(i));
+    host.core = std::make_unique<fleet_host>(
+        host_identity{name, host.domain, "10.0.0.2:" + name, host.life}, domains, *host.workers,
+        *host.peers, *host.callers, *host.metrics, decode_config, now_);
+    for (const auto& [other, one] : hosts_)
+        host.core->host_listed({other, one->domain, "10.0.0.2:" + other}, now_);
+    tick(name, host.life);
+    const auto life = host.life;
+    schedule(now_ + milliseconds{10}, [this, name, life] {
+        deliver(name, life, [this, name] { feed_store(*hosts_.at(name)); });
+    });
+}
+
+void fleet_world::tick(const std::string& name, std::uint64_t life)
+{
+    auto& host = *hosts_.at(name);
+    if (!host.alive || host.life != life)
+        return;
+    if (!host.frozen) {
+        host.core->tick(now_);
+        const auto& config = host.core->config();
+        if (config && config->version < host.shown_config)
+            violation(name + " went back from configuration " +
+                      std::to_string(host.shown_config) + " to " +
+                      std::to_string(config->version));
+        if (config)
+            host.shown_config = config->version;
+    }
+    schedule(now_ + tick_interval, [this, name, life] { tick(name, life); });
+}
+
+void fleet_world::feed_store(sim_host& host)
+{
+    host.core->store_answered(store_up_, now_);
+    if (store_up_) {
+        static const std::string none;
+        if (!host.core->config() || host.core->config()->version < version_)
+            host.core->config_read(config_text(version_), now_);
+        for (const auto& [id, worker] : workers_) {
+            auto entry = worker.entry;
+            entry.life = worker.life;
+            host.core->worker_listed(entry);
+        }
+        host.core->workers_complete();
+        if (host.metrics->gauge("test_announced") == 0) {
+            host.metrics->gauge("test_announced") = 1;
+            host.core->fence_base_granted(next_number_++);
+        }
+    }
+    schedule(now_ + store_interval, [this, name = host.name, life = host.life] {
+        deliver(name, life, [this, name] { feed_store(*hosts_.at(name)); });
+    });
+}
+
+void fleet_world::link_hosts()
+{
+    for (auto& [a, first] : hosts_) {
+        for (auto& [b, second] : hosts_) {
+            if (a >= b || !first->alive || !second->alive || first->frozen || second->frozen ||
+                first->linked.contains(b) || second->linked.contains(a) ||
+                cut_hosts_.contains(std::minmax(a, b)))
+                continue;
+            first->linked.insert(b);
+            second->linked.insert(a);
+            first->core->peer_linked(b, second->domain, second->life, now_);
+            second->core->peer_linked(a, first->domain, first->life, now_);
+        }
+    }
+    schedule(now_ + milliseconds{150}, [this] { link_hosts(); });
+}
+
+void fleet_world::unlink(const std::string& a, const std::string& b)
+{
+    const auto lose = [this](const std::string& from, const std::string& to) {
+        auto& host = *hosts_.at(from);
+        deliver(from, host.life, [this, from, to] {
+            auto& one = *hosts_.at(from);
+            if (one.linked.erase(to) > 0)
+                one.core->peer_unlinked(to, now_);
+        });
+    };
+    lose(a, b);
+    // The other side hears of it only if the path is there.
+    if (!cut_hosts_.contains(std::minmax(a, b)))
+        schedule(now_ + hop, [lose, a, b] { lose(b, a); });
+}
+
+void fleet_world::kill(const std::string& name)
+{
+    auto& host = *hosts_.at(name);
+    if (!host.alive)
+        return;
+    host.alive = false;
+    for (const auto& [other, one] : hosts_) {
+        if (one->linked.contains(name))
+            unlink(other, name);
+    }
+    // Callers see their connections end.
+    const auto open = std::exchange(host.callers->jobs, {});
+    for (const auto& [request, job] : open)
+        answered(job, "cut");
+}
+
+void fleet_world::freeze(const std::string& name, bool frozen)
+{
+    auto& host = *hosts_.at(name);
+    host.frozen = frozen;
+    if (frozen || !host.alive)
+        return;
+    const auto backlog = std::exchange(host.backlog, {});
+    for (const auto& call : backlog)
+        call();
+}
+
+void fleet_world::cut(const std::string& a, const std::string& b, bool is_cut)
+{
+    if (is_cut)
+        cut_hosts_.insert(std::minmax(a, b));
+    else
+        cut_hosts_.erase(std::minmax(a, b));
+}
+
+void fleet_world::cut_workers(const std::string& host, bool is_cut)
+{
+    if (is_cut)
+        cut_from_workers_.insert(host);
+    else
+        cut_from_workers_.erase(host);
+}
+
+void fleet_world::crash_worker(const std::string& id)
+{
+    auto& worker = workers_.at(id);
+    worker.running.clear();
+    worker.stopped.clear();
+    worker.ended.clear();
+    worker.ends = 0;
+    worker.token = 0;
+    worker.lease_ms = 0;
+    worker.born = now_;
+    worker.life += 1;
+}
+
+void fleet_world::publish(std::uint64_t version)
+{
+    version_ = version;
+}
+
+void fleet_world::stop(const std::string& name)
+{
+    auto& host = *hosts_.at(name);
+    if (host.alive && !host.frozen)
+        host.core->leave(now_);
+}
+
+fleet_host* fleet_world::host(const std::string& name)
+{
+    return hosts_.at(name)->core.get();
+}
+
+metrics::registry& fleet_world::metrics(const std::string& host)
+{
+    return *hosts_.at(host)->metrics;
+}
+
+std::vector<std::string> fleet_world::host_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, host] : hosts_)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> fleet_world::worker_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [id, worker] : workers_)
+        names.push_back(id);
+    return names;
+}
+
+bool fleet_world::reachable(const std::string& host, const sim_worker& worker) const
+{
+    return !worker.fault.cut && !cut_from_workers_.contains(host);
+}
+
+void fleet_world::violation(std::string text)
+{
+    violations_.push_back(std::to_string(to_ms(now_.time_since_epoch())) + " ms: " +
+                          std::move(text));
+}
+
+void fleet_world::settle_worker(sim_worker& worker)
+{
+    std::vector<std::pair<std::string, task_end>> over;
+    const auto clock = worker.clock(now_);
+    for (const auto& [task, run] : worker.running) {
+        if (clock >= worker.lease_ms)
+            over.emplace_back(task, task_end::lapsed);
+        else if (now_ >= run.ends)
+            over.emplace_back(task, run.fails ? task_end::failed : task_end::done);
+    }
+    for (const auto& [task, how] : over)
+        worker.end(task, how);
+    if (!over.empty())
+        answer_looks(worker.entry.id);
+}
+
+void fleet_world::answer_looks(const std::string& id)
+{
+    auto& worker = workers_.at(id);
+    auto waiting = std::exchange(looks_[id], {});
+    for (auto& one : waiting) {
+        if (!reachable(one.host, worker)) {
+            schedule(one.until + order_timeout, [reply = one.reply] { reply({}); });
+            continue;
+        }
+        // The lease was renewed when the look arrived.
+        one.order.expires_at_ms.reset();
+        auto got = look_at(worker, one.order);
+        if (now_ < one.until && got.ended.empty()) {
+            looks_[id].push_back(std::move(one));
+            continue;
+        }
+        schedule(now_ + hop, [reply = one.reply, got] { reply(got); });
+    }
+}
+
+void fleet_world::check_room(const sim_worker& worker)
+{
+    room used;
+    for (const auto& [task, run] : worker.running)
+        used += run.demand;
+    if (worker.entry.capacity.holds(used))
+        return;
+    std::string held;
+    for (const auto& [task, run] : worker.running)
+        held += ' ' + task + '/' + std::to_string(run.run);
+    violation("room of " + worker.entry.id + " exceeded:" + held);
+}
+
+void fleet_world::check_twice(const std::string& task, const std::string& here)
+{
+    for (auto& [id, worker] : workers_) {
+        if (id == here)
+            continue;
+        settle_worker(worker);
+        if (worker.running.contains(task))
+            violation("two runs of " + task + " on " + here + " and " + id + ", run " +
+                      std::to_string(worker.running.at(task).run));
+    }
+}
+
+void fleet_world::start_on(sim_worker& worker, const start_order& order, order_reply& reply)
+{
+    settle_worker(worker);
+    const auto clock = worker.clock(now_);
+    reply.clock_ms = clock;
+    if (order.token < worker.token) {
+        reply.outcome = order_outcome::fenced;
+        return;
+    }
+    worker.token = order.token;
+    reply.outcome = order_outcome::accepted;
+    const auto there = worker.running.find(order.task);
+    if (there != worker.running.end() && there->second.run == order.run)
+        return;
+    const auto highest = worker.stopped.find(order.task);
+    if (there != worker.running.end() ||
+        (highest != worker.stopped.end() && highest->second >= order.run)) {
+        reply.outcome = order_outcome::stale_run;
+        return;
+    }
+    if (order.expires_at_ms <= clock) {
+        reply.outcome = order_outcome::expired;
+        return;
+    }
+    worker.lease_ms = std::max(worker.lease_ms,
+                               std::min(order.expires_at_ms, clock + longest_lease_ms));
+    const auto job = order.task.substr(0, order.task.find('.'));
+    const auto place = job_run::place_of(order.task);
+    const auto& step = work_.at(job).first[place.step];
+    sim_worker::run_state run;
+    run.run = order.run;
+    run.demand = demand_of(step);
+    run.began = now_;
+    run.fails = worker.fault.fails_tasks;
+    // True run times are up to 40% off the estimate.
+    const double factor = (0.7 + 0.7 * uniform(random_)) / worker.speed;
+    run.ends = worker.fault.hangs_tasks
+                   ? now_ + seconds{1000}
+                   : now_ + from_seconds(run.fails ? 0.005 : factor * step.estimate_ms / 1000.0);
+    check_twice(order.task, worker.entry.id);
+    worker.running[order.task] = run;
+    jobs_.at(job).started = true;
+    ++starts_;
+    check_room(worker);
+    schedule(run.ends, [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
+}
+
+void fleet_world::stop_on(sim_worker& worker, const stop_order& order, order_reply& reply)
+{
+    settle_worker(worker);
+    reply.clock_ms = worker.clock(now_);
+    if (order.token < worker.token) {
+        reply.outcome = order_outcome::fenced;
+        return;
+    }
+    worker.token = order.token;
+    reply.outcome = order_outcome::accepted;
+    auto& highest = worker.stopped[order.task];
+    highest = std::max(highest, order.run);
+    schedule(now_ + uniform_duration(random_, milliseconds{50}),
+             [this, id = worker.entry.id, task = order.task, run = order.run, life = worker.life] {
+                 auto& there = workers_.at(id);
+                 const auto found = there.running.find(task);
+                 if (there.life != life || found == there.running.end() ||
+                     found->second.run != run)
+                     return;
+                 there.end(task, task_end::stopped);
+                 answer_looks(id);
+             });
+}
+
+look_reply fleet_world::look_at(sim_worker& worker, const look_order& order)
+{
+    settle_worker(worker);
+    look_reply reply;
+    reply.clock_ms = worker.clock(now_);
+    reply.life = worker.life;
+    if (order.token < worker.token) {
+        reply.outcome = order_outcome::fenced;
+        return reply;
+    }
+    worker.token = order.token;
+    reply.outcome = order_outcome::accepted;
+    if (order.expires_at_ms)
+        worker.lease_ms =
+            std::max(worker.lease_ms,
+                     std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
+    std::erase_if(worker.ended, [&](const auto& one) { return one.number <= order.seen_end; });
+    reply.ended = worker.ended;
+    for (const auto& [task, run] : worker.running) {
+        const auto total = to_seconds(run.ends - run.began);
+        reply.running.push_back({task, run.run, {},
+                                 static_cast<int>(100 * to_seconds(now_ - run.began) / total)});
+    }
+    // What a lease bounds must end on time, also when nobody looks.
+    const auto left = static_cast<double>(worker.lease_ms - reply.clock_ms) / 1000 /
+                      worker.clock_rate;
+    schedule(now_ + from_seconds(left) + milliseconds{1},
+             [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
+    return reply;
+}
+
+void fleet_world::submit(const std::string& job, const std::string& host,
+                         std::vector<wire::job_step> steps, duration patience)
+{
+    auto& one = jobs_[job];
+    one.id = job;
+    one.first = now_;
+    work_[job] = {std::move(steps), patience};
+    homes_[job] = {host};
+    attempt(job);
+}
+
+void fleet_world::attempt(const std::string& job)
+{
+    auto& one = jobs_.at(job);
+    const auto attempt_number = ++one.attempts;
+    auto name = homes_.at(job).front();
+    if (attempt_number > 1 || !hosts_.at(name)->alive) {
+        // The balancer sends a later attempt to any live host.
+        std::vector<std::string> live;
+        for (const auto& [host, state] : hosts_) {
+            if (state->alive && !state->frozen)
+                live.push_back(host);
+        }
+        if (live.empty()) {
+            schedule(now_ + resend_after, [this, job] { attempt(job); });
+            return;
+        }
+        name = live[std::uniform_int_distribution<std::size_t>{0, live.size() - 1}(random_)];
+    }
+    const auto& [steps, patience] = work_.at(job);
+    deliver(name, hosts_.at(name)->life, [this, name, job, attempt_number] {
+        auto& host = *hosts_.at(name);
+        // A host that wakes from a freeze sees that the caller has closed its connection.
+        const auto& waiting = jobs_.at(job);
+        if (waiting.attempts != attempt_number || waiting.answers.size() >= attempt_number)
+            return;
+        job_request request;
+        request.job = job;
+        request.steps = work_.at(job).first;
+        const auto number = host.next_request++;
+        host.callers->jobs[number] = job;
+        const auto rejected = host.core->submit(number, "h", "/checks/" + job, request,
+                                                work_.at(job).second, now_);
+        if (rejected) {
+            host.callers->jobs.erase(number);
+            answered(job, "not_run");
+        }
+    });
+    // The caller gives up on this attempt and comes again.
+    schedule(now_ + patience + hop, [this, job, attempt_number, name] {
+        auto& waiting = jobs_.at(job);
+        if (waiting.attempts != attempt_number || waiting.answers.size() >= attempt_number)
+            return;
+        auto& host = *hosts_.at(name);
+        for (auto it = host.callers->jobs.begin(); it != host.callers->jobs.end(); ++it) {
+            if (it->second != job)
+                continue;
+            const auto number = it->first;
+            host.callers->jobs.erase(it);
+            deliver(name, host.life,
+                    [this, name, number] {
+                        hosts_.at(name)->core->router().caller_left(number, now_);
+                    });
+            break;
+        }
+        answered(job, "gave_up");
+    });
+}
+
+void fleet_world::answered(const std::string& job, std::string_view answer)
+{
+    auto& one = jobs_.at(job);
+    if (one.answers.size() >= one.attempts)
+        return;
+    one.answers.emplace_back(answer);
+    if (answer == "completed" || answer == "failed" || answer == "not_run") {
+        one.answered = now_;
+        const bool all_refused = std::all_of(one.answers.begin(), one.answers.end(),
+                                             [](const auto& text) { return text == "not_run"; });
+        // What has not started when the refusal arrives must not start later either; the history
+        // checks that again at its end.
+        if (all_refused && one.started)
+            violation("job " + job + " was refused as not run and has run");
+        return;
+    }
+    if (one.attempts < 4)
+        schedule(now_ + resend_after, [this, job] { attempt(job); });
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/tests/fleet_world.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <base/rng.h>
+#include <cstdint>
+#include <fleet/fleet.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <metrics/registry.h>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivewharf::fleet {
+
+/// Behaviour of a simulated worker.
+struct worker_fault {
+    bool cut = false;        ///< receives and answers nothing, and runs on
+    bool fails_tasks = false;
+    bool hangs_tasks = false;
+    double late_orders = 0;  ///< share of orders that get no answer and are carried out seconds later
+    double lost_answers = 0; ///< share of orders that are carried out without an answer
+};
+
+/// A worker that follows the platform's contract: it does not guard its room, keeps the highest
+/// token, ends what has no lease, and lists ends until they are taken note of.
+class sim_worker {
+public:
+    struct run_state {
+        std::uint32_t run = 0;
+        room demand;
+        time_point began{};
+        time_point ends{};
+        bool fails = false;
+    };
+
+    worker_entry entry;
+    worker_fault fault;
+    double clock_rate = 1.0; ///< of the steady clock, 0.98 to 1
+    double speed = 1.0;
+    time_point born{};
+    std::int64_t life = 1;
+    std::uint64_t token = 0;
+    std::int64_t lease_ms = 0; ///< on the worker's clock
+    std::map<std::string, run_state> running;
+    std::map<std::string, std::uint32_t> stopped; ///< highest run that ended or was stopped
+    std::vector<ended_task> ended;
+    std::uint64_t ends = 0;
+
+    std::int64_t clock(time_point now) const;
+    void end(const std::string& task, task_end how);
+};
+
+/// Entry hosts, workers, a store and callers in virtual time, with faults. It checks what must always
+/// hold from what the workers and the callers see.
+class fleet_world {
+public:
+    struct options {
+        std::vector<unsigned> hosts{3, 2, 2}; ///< of each domain
+        unsigned workers = 4;                 ///< of each domain
+        std::uint64_t seed = 1;
+    };
+
+    /// A job as its caller sees it.
+    struct caller_job {
+        std::string id;
+        unsigned attempts = 0;
+        std::vector<std::string> answers; ///< one for each attempt that was answered
+        bool started = false;             ///< a task was started on a worker
+        time_point first{};
+        time_point answered{};
+    };
+
+    explicit fleet_world(options chosen);
+    ~fleet_world();
+    fleet_world(const fleet_world&) = delete;
+    fleet_world& operator=(const fleet_world&) = delete;
+
+    void run_for(duration time);
+    time_point now() const noexcept { return now_; }
+
+    /// Submits a job to a host now; the caller sends it again after a lost answer.
+    void submit(const std::string& job, const std::string& host, std::vector<wire::job_step> steps,
+                duration patience = seconds{2});
+    void at(duration in, std::function<void()> call);
+
+    // Faults.
+    void kill(const std::string& host);
+    void boot(const std::string& host);
+    void freeze(const std::string& host, bool frozen);
+    /// Cuts or restores the path between two hosts; cut links are silent.
+    void cut(const std::string& a, const std::string& b, bool cut);
+    /// Cuts or restores the path from a host to every worker.
+    void cut_workers(const std::string& host, bool cut);
+    void crash_worker(const std::string& worker);
+    void store_up(bool up) { store_up_ = up; }
+    void publish(std::uint64_t version);
+    void stop(const std::string& host);
+
+    fleet_host* host(const std::string& name);
+    sim_worker& worker(const std::string& id) { return workers_.at(id); }
+    std::vector<std::string> host_names() const;
+    std::vector<std::string> worker_names() const;
+    const std::map<std::string, caller_job>& jobs() const { return jobs_; }
+    metrics::registry& metrics(const std::string& host);
+
+    /// What must never happen, in words.
+    const std::vector<std::string>& violations() const { return violations_; }
+    std::uint64_t starts() const { return starts_; }
+    rng& random() { return random_; }
+
+private:
+    friend class sim_worker_port;
+    friend class sim_peer_port;
+    friend class sim_caller_port;
+    struct sim_host;
+    struct event {
+        time_point at;
+        std::uint64_t number;
+        std::function<void()> call;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+    struct pending_look {
+        std::string host;
+        std::uint64_t life;
+        look_order order;
+        time_point until;
+        std::function<void(look_reply)> reply;
+    };
+
+    void schedule(time_point when, std::function<void()> call);
+    /// Runs the call in the host if it is the same process and not frozen, or after it wakes.
+    void deliver(const std::string& host, std::uint64_t life, std::function<void()> call);
+    void tick(const std::string& host, std::uint64_t life);
+    void feed_store(sim_host& host);
+    void link_hosts();
+    void unlink(const std::string& a, const std::string& b);
+    void start_on(sim_worker& worker, const start_order& order, order_reply& reply);
+    void stop_on(sim_worker& worker, const stop_order& order, order_reply& reply);
+    look_reply look_at(sim_worker& worker, const look_order& order);
+    void settle_worker(sim_worker& worker);
+    void answer_looks(const std::string& worker);
+    void check_room(const sim_worker& worker);
+    void check_twice(const std::string& task, const std::string& worker);
+    void attempt(const std::string& job);
+    void answered(const std::string& job, std::string_view answer);
+    bool reachable(const std::string& host, const sim_worker& worker) const;
+    void violation(std::string text);
+
+    options options_;
+    rng random_;
+    time_point now_;
+    std::uint64_t events_ = 0;
+    std::priority_queue<event> queue_;
+    std::map<std::string, std::unique_ptr<sim_host>> hosts_;
+    std::map<std::string, sim_worker> workers_;
+    std::map<std::string, std::vector<pending_look>> looks_;
+    std::map<std::string, caller_job> jobs_;
+    std::map<std::string, std::pair<std::vector<wire::job_step>, duration>> work_;
+    std::map<std::string, std::vector<std::string>> homes_; ///< hosts that callers use, by job
+    std::set<std::pair<std::string, std::string>> cut_hosts_;
+    std::set<std::string> cut_from_workers_;
+    std::vector<std::string> violations_;
+    std::uint64_t next_life_ = 100;
+    std::uint64_t next_number_ = 0; ///< offset of the next host's record
+    std::uint64_t version_ = 1;
+    std::uint64_t starts_ = 0;
+    bool store_up_ = true;
+};
+
+} // namespace chivewharf::fleet
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -30,13 +30,8 @@
     entry_ = entry;
     if (!new_life)
         return;
+    // Tasks may have been started in either life: the next look tells which are there.
     log_line{"worker_restarted"}.add("worker", entry_.id).add("life", entry.life).write();
-    clock_.reset();
-    seen_end_ = 0;
-    last_expiry_ms_ = 0;
-    life_ = entry.life;
-    foreign_.clear();
-    end_all(task_end::lapsed, now);
     if (phase_ == phase::owned)
         take(token_, now);
     observer_.changed(now);
@@ -91,6 +86,7 @@
     held.demand = demand;
     held.ordered = now;
     held.expires_at_ms = expires;
+    held.life = life_;
     used_ += demand;
     tasks_.insert_or_assign(task, std::move(held));
     port_.start({address(), token_, task, run, payload, saved, expires},
@@ -236,7 +232,7 @@
     if (phase_ == phase::taking)
         phase_ = phase::owned;
     take_note_of_ends(reply);
-    take_note_of_running(reply, sent, new_life);
+    take_note_of_running(reply, sent);
     observer_.changed(now);
     tick(now);
 }
@@ -253,7 +249,7 @@
     }
 }
 
-void worker_session::take_note_of_running(const look_reply& reply, time_point sent, bool new_life)
+void worker_session::take_note_of_running(const look_reply& reply, time_point sent)
 {
     const auto now = reply.received;
     std::map<std::string, std::uint32_t> foreign;
@@ -284,10 +280,10 @@
         if (listed.contains(name))
             continue;
         const bool was_there = task.accepted != time_point{} && task.accepted <= sent;
-        const bool never_comes = reply.clock_ms > task.expires_at_ms ||
+        // An expiry by the clock of a former life says nothing in this one.
+        const bool never_comes = (task.life == life_ && reply.clock_ms > task.expires_at_ms) ||
                                  (task.stop_accepted != time_point{} && task.stop_accepted <= sent);
-        if ((new_life && task.ordered <= sent) || was_there ||
-            (task.accepted == time_point{} && task.unanswered && never_comes))
+        if (was_there || (task.accepted == time_point{} && task.unanswered && never_comes))
             gone.push_back(name);
     }
     for (const auto& name : gone)
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -21,6 +21,7 @@
     room demand;
     time_point ordered{};
     std::int64_t expires_at_ms = 0; ///< of the start, on the worker's clock
+    std::int64_t life = 0;          ///< of the worker when the start was ordered
     time_point accepted{};          ///< zero until the start is known to be carried out
     time_point stop_accepted{};     ///< zero until a stop was accepted
     time_point stop_sent{};
@@ -65,7 +66,7 @@
 
     const worker_entry& entry() const noexcept { return entry_; }
 
-    /// Takes the newest listed state. A changed life ends all that ran in the former one.
+    /// Takes the newest listed state.
     void update(const worker_entry& entry, time_point now);
 
     /// Becomes the owner under the token: looks what runs there, and stops what it does not know.
@@ -107,7 +108,7 @@
     void look(time_point now);
     void look_answered(const look_reply& reply, time_point sent);
     void take_note_of_ends(const look_reply& reply);
-    void take_note_of_running(const look_reply& reply, time_point sent, bool new_life);
+    void take_note_of_running(const look_reply& reply, time_point sent);
     void start_answered(const std::string& task, std::uint32_t run, const order_reply& reply);
     void stop_answered(const std::string& task, std::uint32_t run, const order_reply& reply);
     void send_stop(held_task& task, time_point now);
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -1,6 +1,7 @@
 #include <runtime/http_server.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -20,10 +21,16 @@
 /// True if the caller has closed its side; libsoup does not look while a request is paused.
 bool closed_by_peer(GSocket* socket)
 {
+    const int fd = g_socket_get_fd(socket);
     tcp_info info{};
     socklen_t size = sizeof info;
-    return getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-           (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+        (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE))
+        return true;
+    // Where the state of the connection cannot be read, its end can, unless data comes before it.
+    char next = 0;
+    const auto got = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 std::string raw_response(const http_response& response)
@@ -241,8 +248,15 @@
     if (soup_server_message_get_status(message) != 0)
         return;
     const auto exchange = http_exchange::start(message, path, query);
-    if (auto* open = find(message))
+    auto* open = find(message);
+    if (open != nullptr)
         open->exchange = exchange;
+    // After a pause of the process, a request may be read long after its caller has given up and
+    // sent it elsewhere.
+    if (open != nullptr && closed_by_peer(open->socket.get())) {
+        exchange->caller_left();
+        return;
+    }
     static_cast<http_server*>(self)->handle_(exchange);
 }
 
