Suspend a fenced owner before its jobs are sent on

Cause: an owner that was fenced still offered itself to its own coordinator, which sent the refused job back to it without end; found by the new test of two owners that cannot see each other. A refused claim is now looked up again at the next tick.

--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -33,8 +33,8 @@
     greeting.domain = settings_.domain;
     greeting.host = settings_.host;
     greeting.incarnation = life_;
-    links_ = std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_,
-                                        random_number());
+    links_ =
+        std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_, random_number());
     core_ = std::make_unique<fleet::fleet_host>(
         fleet::host_identity{settings_.host, settings_.domain, to_text(settings_.peers), life_},
         settings_.domains, *adapters_.workers, *links_, *adapters_.callers, metrics_,
@@ -57,9 +57,7 @@
     links_->on({[this](const std::string& host, const std::string& domain, std::uint64_t life) {
                     core_->peer_linked(host, domain, life, boot_clock::now());
                 },
-                [this](const std::string& host) {
-                    core_->peer_unlinked(host, boot_clock::now());
-                },
+                [this](const std::string& host) { core_->peer_unlinked(host, boot_clock::now()); },
                 [this](const std::string& host, const wire::message& message) {
                     core_->peer_message(host, message, boot_clock::now());
                 },
@@ -103,7 +101,9 @@
         [this](const std::shared_ptr<runtime::http_exchange>& exchange) {
             exchange->respond({200, metrics_text(), "text/plain; version=0.0.4", {}});
         },
-        [](reason) { return runtime::http_response{503, {}, "text/plain", {}}; });
+        [](reason) {
+            return runtime::http_response{503, {}, "text/plain", {}};
+        });
     auto address = settings_.callers;
     address.port = static_cast<std::uint16_t>(settings_.metrics_port);
     const auto port = metrics_server_->listen(to_text(address));
--- a/modules/daemon/link_hub.cpp
+++ b/modules/daemon/link_hub.cpp
@@ -147,18 +147,17 @@
     auto* socket = g_socket_connection_get_socket(connection.get());
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms, nullptr);
-    peer_link::observer observe{
-        [this, address](const link_ptr& link) { ready(link, address); },
-        [this](const link_ptr& link, const wire::message& message) {
-            const auto& host = link->peer().host;
-            const auto found = by_host_.find(host);
-            if (found != by_host_.end() && found->second.link == link)
-                events_.received(host, message);
-        },
-        [this, address](const link_ptr& link, const std::string& why) {
-            closed(link, address, why);
-        },
-        [](const link_ptr&) { return false; }}; // reports keep links alive
+    peer_link::observer observe{[this, address](const link_ptr& link) { ready(link, address); },
+                                [this](const link_ptr& link, const wire::message& message) {
+                                    const auto& host = link->peer().host;
+                                    const auto found = by_host_.find(host);
+                                    if (found != by_host_.end() && found->second.link == link)
+                                        events_.received(host, message);
+                                },
+                                [this, address](const link_ptr& link, const std::string& why) {
+                                    closed(link, address, why);
+                                },
+                                [](const link_ptr&) { return false; }}; // reports keep links alive
     links_.insert(peer_link::open(std::move(connection), side, self_, shared_key, random_,
                                   std::move(observe)));
 }
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -12,8 +12,8 @@
 
 namespace chivewharf::daemon {
 
-/// The links of a host on the platform: accepts them, dials the hosts that the core names, and keeps
-/// one for each host.
+/// The links of a host on the platform: accepts them, dials the hosts that the core names, and
+/// keeps one for each host.
 class link_hub final : public runtime::supervised, public fleet::peer_port {
 public:
     struct events {
--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -43,12 +43,13 @@
     running_ = std::make_shared<int>(0);
     for (std::size_t i = 0; i < topics_.size(); ++i) {
         const auto topic = static_cast<fleet::store_topic>(i);
-        topics_[i].reset(new followed{
-            topic,
-            fleet::topic_follower{
-                [this, topic](const fleet::keyed_record& record) { changed(topic, record); }},
-            {},
-            0});
+        topics_[i].reset(
+            new followed{topic,
+                         fleet::topic_follower{[this, topic](const fleet::keyed_record& record) {
+                             changed(topic, record);
+                         }},
+                         {},
+                         0});
         read(*topics_[i]);
     }
     announce();
@@ -75,12 +76,12 @@
 {
     ++metrics_.counter("chivewharf_store_calls_total",
                        "topic=\"" + std::string{to_name(topic.topic)} + '"');
-    store_.read(topic.topic, topic.follower.next(), plan_of(topic.topic).wait,
-                [this, &topic, alive = std::weak_ptr<int>{running_}](
-                    const fleet::store_reply& reply) {
-                    if (!alive.expired())
-                        answered(topic, reply);
-                });
+    store_.read(
+        topic.topic, topic.follower.next(), plan_of(topic.topic).wait,
+        [this, &topic, alive = std::weak_ptr<int>{running_}](const fleet::store_reply& reply) {
+            if (!alive.expired())
+                answered(topic, reply);
+        });
 }
 
 void store_reader::answered(followed& topic, const fleet::store_reply& reply)
@@ -168,19 +169,18 @@
 void store_reader::announce()
 {
     const auto& self = core_.self();
-    store_.announce({self.host, self.domain, self.address},
-                    [this, alive = std::weak_ptr<int>{running_}](
-                        std::optional<std::uint64_t> number) {
-                        if (alive.expired())
-                            return;
-                        if (number) {
-                            core_.fence_base_granted(*number);
-                            return;
-                        }
-                        log_line{"announce_failed"}.write();
-                        announce_timer_.once(backoff(++announce_failures_),
-                                             [this] { announce(); });
-                    });
+    store_.announce(
+        {self.host, self.domain, self.address},
+        [this, alive = std::weak_ptr<int>{running_}](std::optional<std::uint64_t> number) {
+            if (alive.expired())
+                return;
+            if (number) {
+                core_.fence_base_granted(*number);
+                return;
+            }
+            log_line{"announce_failed"}.write();
+            announce_timer_.once(backoff(++announce_failures_), [this] { announce(); });
+        });
 }
 
 } // namespace chivewharf::daemon
--- a/modules/fleet/claim_policy.cpp
+++ b/modules/fleet/claim_policy.cpp
@@ -39,8 +39,7 @@
         unowned_since_.erase(domain);
         if (self->epoch == 0 || owner == self)
             // A home host takes its domain back from one of another domain.
-            return self->epoch == 0 && self->able && !self->leaving && self->home &&
-                           !owner->home &&
+            return self->epoch == 0 && self->able && !self->leaving && self->home && !owner->home &&
                            std::none_of(hosts.begin(), hosts.end(),
                                         [&](const claim_candidate& one) {
                                             return one.home && one.able && !one.leaving &&
--- a/modules/fleet/claim_policy.h
+++ b/modules/fleet/claim_policy.h
@@ -11,8 +11,8 @@
 /// A live host, for the decision who owns a failure domain.
 struct claim_candidate {
     std::string host;
-    bool home = false;  ///< the host is in the domain
-    bool able = false;  ///< it may claim
+    bool home = false; ///< the host is in the domain
+    bool able = false; ///< it may claim
     bool leaving = false;
     std::uint64_t fence_base = 0;
     std::uint64_t epoch = 0; ///< of its claim on the domain; 0 if it has none
@@ -24,8 +24,8 @@
 ///  - `yield`: another host's claim goes before its own.
 enum class claim_action : std::uint8_t { none, claim, succeed, yield };
 
-/// Decides which host orders the starts in a failure domain. Every host decides for itself from what
-/// others report; two that disagree are kept apart by the workers' fencing tokens.
+/// Decides which host orders the starts in a failure domain. Every host decides for itself from
+/// what others report; two that disagree are kept apart by the workers' fencing tokens.
 class claim_policy {
 public:
     /// Time after the start in which nothing is claimed, so that reports of owners arrive first.
--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -161,14 +161,14 @@
 
 std::size_t domain_owner::usable_workers() const
 {
-    return static_cast<std::size_t>(std::count_if(workers_.begin(), workers_.end(), [](auto& one) {
-        return one.second.session->usable();
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        workers_.begin(), workers_.end(), [](auto& one) { return one.second.session->usable(); }));
 }
 
 bool domain_owner::swept(time_point now) const
 {
-    return token_ != 0 && !suspended_ && !workers_.empty() && std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
+    return token_ != 0 && !suspended_ && !workers_.empty() &&
+           std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
                return !one.second.with_predecessor && one.second.session->swept(now);
            });
 }
@@ -348,9 +348,8 @@
     const auto& step = job.order.steps[where.step];
     return session.usable() && now >= worker.avoid_until && entry.service == job.order.service &&
            session.free().holds(demand_of(step)) &&
-           (step.required_label.empty() ||
-            std::find(entry.labels.begin(), entry.labels.end(), step.required_label) !=
-                entry.labels.end()) &&
+           (step.required_label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
+                                                     step.required_label) != entry.labels.end()) &&
            below_spread_limit(job, where, entry.id);
 }
 
@@ -505,8 +504,8 @@
     enqueue(job);
 }
 
-void domain_owner::start_rejected(worker_session& session, const held_task& held,
-                                  order_outcome why, time_point now)
+void domain_owner::start_rejected(worker_session& session, const held_task& held, order_outcome why,
+                                  time_point now)
 {
     ++metrics_.counter("chivewharf_start_rejections_total",
                        "reason=\"" + std::string{to_name(why)} + '"');
@@ -539,9 +538,9 @@
 {
     // Another owner sweeps the domain, and coordinators may already send its jobs elsewhere: what
     // has been started must not start again under a later token of this owner.
+    call_.fenced(now);
     if (!std::exchange(suspended_, true))
         end_all_jobs(now);
-    call_.fenced(now);
 }
 
 void domain_owner::end_all_jobs(time_point now)
@@ -683,8 +682,7 @@
             const auto where = job_run::place_of(name);
             const duration estimate =
                 milliseconds{job->second->order.steps[where.step].estimate_ms};
-            const auto expected =
-                to_seconds(model_.nominal(job->second->order.queue, estimate));
+            const auto expected = to_seconds(model_.nominal(job->second->order.queue, estimate));
             const auto elapsed = to_seconds(held.percent_at - held.ordered);
             const auto projected = elapsed * 100 / std::max(held.percent, 1);
             if (elapsed < expected + to_seconds(hanging_slack) ||
@@ -705,8 +703,8 @@
         if (job->orphaned && now - *job->orphaned > orphan_grace)
             orphans.push_back(id);
         else if (now >= job->deadline)
-            over.emplace_back(id, job->started ? wire::job_end::expired
-                                               : wire::job_end::overloaded);
+            over.emplace_back(id,
+                              job->started ? wire::job_end::expired : wire::job_end::overloaded);
         else if (!job->started && now > latest_start(*job))
             over.emplace_back(id, wire::job_end::overloaded);
     }
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -95,8 +95,8 @@
     return all;
 }
 
-void fleet_host::peer_linked(const std::string& host, const std::string& domain,
-                             std::uint64_t life, time_point now)
+void fleet_host::peer_linked(const std::string& host, const std::string& domain, std::uint64_t life,
+                             time_point now)
 {
     directory_.linked(host, domain, life, now);
     log_line{"host_linked"}.add("host", host).add("domain", domain).add("life", life).write();
@@ -166,8 +166,7 @@
     }
 }
 
-void fleet_host::peer_message(const std::string& host, const wire::message& message,
-                              time_point now)
+void fleet_host::peer_message(const std::string& host, const wire::message& message, time_point now)
 {
     if (const auto* order = std::get_if<wire::job_order>(&message))
         take_order(host, *order, now);
@@ -272,17 +271,16 @@
 bool fleet_host::claimed_by_staying_host(const std::string& domain, time_point now) const
 {
     const auto all = candidates(domain, now);
-    return std::any_of(all.begin(), all.end(), [](const claim_candidate& one) {
-        return one.epoch > 0 && !one.leaving;
-    });
+    return std::any_of(all.begin(), all.end(),
+                       [](const claim_candidate& one) { return one.epoch > 0 && !one.leaving; });
 }
 
-std::vector<claim_candidate> fleet_host::candidates(const std::string& domain,
-                                                    time_point now) const
+std::vector<claim_candidate> fleet_host::candidates(const std::string& domain, time_point now) const
 {
     std::vector<claim_candidate> all;
     const auto mine = owned_.find(domain);
-    all.push_back({self_.host, self_.domain == domain, able(), leaving_, fence_base_, mine == owned_.end() ? 0 : mine->second.epoch});
+    all.push_back({self_.host, self_.domain == domain, able(), leaving_, fence_base_,
+                   mine == owned_.end() ? 0 : mine->second.epoch});
     for (const auto& [name, host] : directory_.hosts()) {
         if (!directory_.alive(host, now))
             continue;
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -32,10 +32,7 @@
 
 class job_router::busy_scope {
 public:
-    busy_scope(job_router& router, time_point now) : router_{router}, now_{now}
-    {
-        ++router_.busy_;
-    }
+    busy_scope(job_router& router, time_point now) : router_{router}, now_{now} { ++router_.busy_; }
     busy_scope(const busy_scope&) = delete;
     busy_scope& operator=(const busy_scope&) = delete;
     ~busy_scope()
@@ -173,7 +170,8 @@
         job.refused.insert(job.owner.domain);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(why)} + '"');
-    if (dispatch(job, now) || why == wire::job_end::not_owner || job.unsafe_owner)
+    // Another host's claim shows within a report's time; the next tick looks for it.
+    if (why == wire::job_end::not_owner || dispatch(job, now) || job.unsafe_owner)
         return;
     finish(place, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(why),
            retry_after, now);
@@ -259,8 +257,7 @@
     jobs_.erase(place);
     if (answer == job_answer::not_run && retry_after == duration{0})
         retry_after = default_retry_after;
-    ++metrics_.counter("chivewharf_job_answers_total", "answer=\"" +
-                                                           std::string{to_name(answer)} +
+    ++metrics_.counter("chivewharf_job_answers_total", "answer=\"" + std::string{to_name(answer)} +
                                                            "\",reason=\"" + std::string{why} + '"');
     metrics_.histogram("chivewharf_job_seconds").observe(now - job.arrived);
     if (log_.wanted(job.order.job, now))
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -69,7 +69,7 @@
     time_point arrived; ///< at the host that the caller reached
     time_point deadline;
     std::vector<step_run> steps;
-    bool started = false; ///< a start was ordered at some time
+    bool started = false;               ///< a start was ordered at some time
     std::optional<time_point> orphaned; ///< since the link to the requester was lost
 };
 
--- a/modules/fleet/ports.h
+++ b/modules/fleet/ports.h
@@ -46,7 +46,7 @@
     std::string task;
     std::uint32_t run = 1;
     std::string payload;
-    std::string saved;               ///< progress of an earlier run; empty if there is none
+    std::string saved;              ///< progress of an earlier run; empty if there is none
     std::int64_t expires_at_ms = 0; ///< on the worker's clock: the lease, and the order's own end
 };
 
@@ -62,7 +62,7 @@
 struct look_order {
     worker_address to;
     std::uint64_t token = 0;
-    std::uint64_t seen_end = 0; ///< number of the last end that was taken note of
+    std::uint64_t seen_end = 0;                ///< number of the last end that was taken note of
     std::optional<std::int64_t> expires_at_ms; ///< on the worker's clock; none renews nothing
     duration wait{};                           ///< the worker answers earlier if a task ends
 };
@@ -184,9 +184,9 @@
 
 template <>
 struct chivewharf::enum_names<chivewharf::fleet::order_outcome> {
-    static constexpr std::array<std::string_view, 8> names{
-        "accepted", "fenced", "stale_run", "expired", "no_room", "refused", "other_life",
-        "unanswered"};
+    static constexpr std::array<std::string_view, 8> names{"accepted",   "fenced",    "stale_run",
+                                                           "expired",    "no_room",   "refused",
+                                                           "other_life", "unanswered"};
 };
 
 template <>
--- a/modules/fleet/run_time_model.cpp
+++ b/modules/fleet/run_time_model.cpp
@@ -44,13 +44,14 @@
     return from_seconds(to_seconds(nominal(queue, estimate)) / speed(worker));
 }
 
-void run_time_model::observe(const std::string& queue, duration estimate,
-                             const std::string& worker, duration elapsed)
+void run_time_model::observe(const std::string& queue, duration estimate, const std::string& worker,
+                             duration elapsed)
 {
     if (estimate <= duration{0} || elapsed <= duration{0})
         return;
-    const double ratio = std::clamp(to_seconds(elapsed) / to_seconds(expected(queue, estimate, worker)),
-                                    least_ratio, greatest_ratio);
+    const double ratio =
+        std::clamp(to_seconds(elapsed) / to_seconds(expected(queue, estimate, worker)), least_ratio,
+                   greatest_ratio);
     log_speed_[worker] -= speed_weight * std::log(ratio);
     log_ratio_[queue] += ratio_weight * std::log(ratio);
 }
--- a/modules/fleet/run_time_model.h
+++ b/modules/fleet/run_time_model.h
@@ -12,8 +12,7 @@
 public:
     /// Expected run time of a task.
     /// \param estimate the caller's estimate
-    duration expected(const std::string& queue, duration estimate,
-                      const std::string& worker) const;
+    duration expected(const std::string& queue, duration estimate, const std::string& worker) const;
 
     /// Expected run time on a worker of speed 1.
     duration nominal(const std::string& queue, duration estimate) const;
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -81,25 +81,23 @@
                 reply(got);
             });
         };
-        world.schedule(world.now_ + hop, [&world, host = host_, life = life_, id, order, answer,
-                                          limit] {
-            auto& worker = world.workers_.at(id);
-            if (!world.reachable(host, worker)) {
-                world.schedule(limit, [answer] { answer({}); });
-                return;
-            }
-            auto got = world.look_at(worker, order);
-            if (got.outcome != order_outcome::accepted || !got.ended.empty() ||
-                order.wait == duration{0}) {
-                world.schedule(world.now_ + hop, [answer, got] { answer(got); });
-                return;
-            }
-            world.looks_[id].push_back(
-                {host, life, order, world.now_ + order.wait, [answer](look_reply one) {
-                     answer(std::move(one));
-                 }});
-            world.schedule(world.now_ + order.wait, [&world, id] { world.answer_looks(id); });
-        });
+        world.schedule(
+            world.now_ + hop, [&world, host = host_, life = life_, id, order, answer, limit] {
+                auto& worker = world.workers_.at(id);
+                if (!world.reachable(host, worker)) {
+                    world.schedule(limit, [answer] { answer({}); });
+                    return;
+                }
+                auto got = world.look_at(worker, order);
+                if (got.outcome != order_outcome::accepted || !got.ended.empty() ||
+                    order.wait == duration{0}) {
+                    world.schedule(world.now_ + hop, [answer, got] { answer(got); });
+                    return;
+                }
+                world.looks_[id].push_back({host, life, order, world.now_ + order.wait,
+                                            [answer](look_reply one) { answer(std::move(one)); }});
+                world.schedule(world.now_ + order.wait, [&world, id] { world.answer_looks(id); });
+            });
     }
 
 private:
@@ -208,17 +206,17 @@
     const auto& target = *world.hosts_.at(to);
     if (!from.linked.contains(to))
         return;
-    world.schedule(world.now_ + hop, [&world, host = host_, to, message, life = target.life,
-                                      from_life = from.life] {
-        if (world.cut_hosts_.contains(std::minmax(host, to)) ||
-            world.hosts_.at(host)->life != from_life)
-            return;
-        world.deliver(to, life, [&world, host, to, message] {
-            auto& receiver = *world.hosts_.at(to);
-            if (receiver.linked.contains(host))
-                receiver.core->peer_message(host, message, world.now_);
-        });
-    });
+    world.schedule(world.now_ + hop,
+                   [&world, host = host_, to, message, life = target.life, from_life = from.life] {
+                       if (world.cut_hosts_.contains(std::minmax(host, to)) ||
+                           world.hosts_.at(host)->life != from_life)
+                           return;
+                       world.deliver(to, life, [&world, host, to, message] {
+                           auto& receiver = *world.hosts_.at(to);
+                           if (receiver.linked.contains(host))
+                               receiver.core->peer_message(host, message, world.now_);
+                       });
+                   });
 }
 
 fleet_world::fleet_world(options chosen)
@@ -329,9 +327,8 @@
         host.core->tick(now_);
         const auto& config = host.core->config();
         if (config && config->version < host.shown_config)
-            violation(name + " went back from configuration " +
-                      std::to_string(host.shown_config) + " to " +
-                      std::to_string(config->version));
+            violation(name + " went back from configuration " + std::to_string(host.shown_config) +
+                      " to " + std::to_string(config->version));
         if (config)
             host.shown_config = config->version;
     }
@@ -495,8 +492,8 @@
 
 void fleet_world::violation(std::string text)
 {
-    violations_.push_back(std::to_string(to_ms(now_.time_since_epoch())) + " ms: " +
-                          std::move(text));
+    violations_.push_back(std::to_string(to_ms(now_.time_since_epoch())) +
+                          " ms: " + std::move(text));
 }
 
 void fleet_world::settle_worker(sim_worker& worker)
@@ -584,8 +581,8 @@
         reply.outcome = order_outcome::expired;
         return;
     }
-    worker.lease_ms = std::max(worker.lease_ms,
-                               std::min(order.expires_at_ms, clock + longest_lease_ms));
+    worker.lease_ms =
+        std::max(worker.lease_ms, std::min(order.expires_at_ms, clock + longest_lease_ms));
     const auto job = order.task.substr(0, order.task.find('.'));
     const auto place = job_run::place_of(order.task);
     const auto& step = work_.at(job).first[place.step];
@@ -623,8 +620,7 @@
              [this, id = worker.entry.id, task = order.task, run = order.run, life = worker.life] {
                  auto& there = workers_.at(id);
                  const auto found = there.running.find(task);
-                 if (there.life != life || found == there.running.end() ||
-                     found->second.run != run)
+                 if (there.life != life || found == there.running.end() || found->second.run != run)
                      return;
                  there.end(task, task_end::stopped);
                  answer_looks(id);
@@ -644,19 +640,18 @@
     worker.token = order.token;
     reply.outcome = order_outcome::accepted;
     if (order.expires_at_ms)
-        worker.lease_ms =
-            std::max(worker.lease_ms,
-                     std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
+        worker.lease_ms = std::max(
+            worker.lease_ms, std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
     std::erase_if(worker.ended, [&](const auto& one) { return one.number <= order.seen_end; });
     reply.ended = worker.ended;
     for (const auto& [task, run] : worker.running) {
         const auto total = to_seconds(run.ends - run.began);
-        reply.running.push_back({task, run.run, {},
-                                 static_cast<int>(100 * to_seconds(now_ - run.began) / total)});
+        reply.running.push_back(
+            {task, run.run, {}, static_cast<int>(100 * to_seconds(now_ - run.began) / total)});
     }
     // What a lease bounds must end on time, also when nobody looks.
-    const auto left = static_cast<double>(worker.lease_ms - reply.clock_ms) / 1000 /
-                      worker.clock_rate;
+    const auto left =
+        static_cast<double>(worker.lease_ms - reply.clock_ms) / 1000 / worker.clock_rate;
     schedule(now_ + from_seconds(left) + milliseconds{1},
              [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
     return reply;
@@ -703,8 +698,8 @@
         request.steps = work_.at(job).first;
         const auto number = host.next_request++;
         host.callers->jobs[number] = job;
-        const auto rejected = host.core->submit(number, "h", "/checks/" + job, request,
-                                                work_.at(job).second, now_);
+        const auto rejected =
+            host.core->submit(number, "h", "/checks/" + job, request, work_.at(job).second, now_);
         if (rejected) {
             host.callers->jobs.erase(number);
             answered(job, "not_run");
@@ -721,10 +716,9 @@
                 continue;
             const auto number = it->first;
             host.callers->jobs.erase(it);
-            deliver(name, host.life,
-                    [this, name, number] {
-                        hosts_.at(name)->core->router().caller_left(number, now_);
-                    });
+            deliver(name, host.life, [this, name, number] {
+                hosts_.at(name)->core->router().caller_left(number, now_);
+            });
             break;
         }
         answered(job, "gave_up");
--- a/modules/fleet/tests/fleet_world.h
+++ b/modules/fleet/tests/fleet_world.h
@@ -17,10 +17,11 @@
 
 /// Behaviour of a simulated worker.
 struct worker_fault {
-    bool cut = false;        ///< receives and answers nothing, and runs on
+    bool cut = false; ///< receives and answers nothing, and runs on
     bool fails_tasks = false;
     bool hangs_tasks = false;
-    double late_orders = 0;  ///< share of orders that get no answer and are carried out seconds later
+    double late_orders =
+        0; ///< share of orders that get no answer and are carried out seconds later
     double lost_answers = 0; ///< share of orders that are carried out without an answer
 };
 
@@ -53,8 +54,8 @@
     void end(const std::string& task, task_end how);
 };
 
-/// Entry hosts, workers, a store and callers in virtual time, with faults. It checks what must always
-/// hold from what the workers and the callers see.
+/// Entry hosts, workers, a store and callers in virtual time, with faults. It checks what must
+/// always hold from what the workers and the callers see.
 class fleet_world {
 public:
     struct options {
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -26,8 +26,9 @@
         at += from_seconds(std::exponential_distribution<double>{per_second}(world.random()));
         const auto host = hosts[world.random()() % hosts.size()];
         const auto kind = world.random()() % 20;
-        auto work = kind < 5 ? step(8, 27000, 60) : kind < 6 ? step(4, 27000, 900)
-                                                            : step(2, 27000, 200);
+        auto work = kind < 5   ? step(8, 27000, 60)
+                    : kind < 6 ? step(4, 27000, 900)
+                               : step(2, 27000, 200);
         if (kind == 19)
             work.cpu_milli = 41000;
         world.at(at, [&world, id = "j" + std::to_string(number++), host, work] {
@@ -147,9 +148,9 @@
     if (!world.violations().empty())
         return world.violations().front();
     for (const auto& [id, job] : world.jobs()) {
-        const bool refused = !job.answers.empty() &&
-                             std::all_of(job.answers.begin(), job.answers.end(),
-                                         [](const auto& text) { return text == "not_run"; });
+        const bool refused =
+            !job.answers.empty() && std::all_of(job.answers.begin(), job.answers.end(),
+                                                [](const auto& text) { return text == "not_run"; });
         if (refused && job.started)
             return "job " + id + " was refused as not run and started later";
         if (job.answers.empty())
@@ -200,7 +201,8 @@
     world.run_for(seconds{3});
     std::string owner;
     for (const auto& name : world.host_names()) {
-        if (name.starts_with("host-0") && world.metrics(name).counter("chivewharf_claims_total") > 0)
+        if (name.starts_with("host-0") &&
+            world.metrics(name).counter("chivewharf_claims_total") > 0)
             owner = name;
     }
     ASSERT_NE(owner, "");
@@ -235,8 +237,8 @@
     EXPECT_EQ(completed, world.jobs().size());
 }
 
-// Guards against an owner that is fenced and starts its jobs again under a higher token, while their
-// coordinator has already sent them to the other owner.
+// Guards against an owner that is fenced and starts its jobs again under a higher token, while
+// their coordinator has already sent them to the other owner.
 TEST(fleet_histories, owners_that_cannot_see_each_other_run_nothing_twice)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/modules/fleet/topic_follower.cpp
+++ b/modules/fleet/topic_follower.cpp
@@ -16,8 +16,7 @@
     changed_(record);
 }
 
-void topic_follower::on_page(const std::vector<keyed_record>& records, bool more,
-                             std::uint64_t end)
+void topic_follower::on_page(const std::vector<keyed_record>& records, bool more, std::uint64_t end)
 {
     // Pages are no snapshot: what changed after the first page is read again as records.
     if (!first_end_)
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -57,8 +57,8 @@
     if (phase_ == phase::owned && foreign_.empty())
         return true;
     // An earlier owner that is gone cannot have renewed anything since this one began.
-    const auto lease_over = std::chrono::duration_cast<duration>(longest_lease /
-                                                                 worker_clock::slowest_rate);
+    const auto lease_over =
+        std::chrono::duration_cast<duration>(longest_lease / worker_clock::slowest_rate);
     return phase_ == phase::taking && now - taken_at_ > lease_over;
 }
 
--- a/modules/settings/fleet_settings.cpp
+++ b/modules/settings/fleet_settings.cpp
@@ -56,8 +56,8 @@
         fields.erase(seeds);
     }
     read_object<fleet>(fields, root, errors, fleet_fields, parsed);
-    if (errors.empty() && std::find(parsed.domains.begin(), parsed.domains.end(),
-                                    parsed.domain) == parsed.domains.end())
+    if (errors.empty() && std::find(parsed.domains.begin(), parsed.domains.end(), parsed.domain) ==
+                              parsed.domains.end())
         errors.add(root.at("domain"), &local.value["domain"], "one of domains");
     if (!errors.empty())
         return unexpected(errors.take());
--- a/modules/wire/messages.cpp
+++ b/modules/wire/messages.cpp
@@ -9,7 +9,9 @@
     "hello",          "proof",           "ping",          "forward",          "forward_answer",
     "heartbeat",      "member_report",   "usage_average", "slot_request",     "slot_grant",
     "slot_return",    "promise_request", "promise",       "handover_records", "config_version",
-    "config_request", "config_record",   "spill_task",    "spill_answer",     "load_report", "job_order", "job_result", "job_cancel", "host_report", "host_records", "worker_release"};
+    "config_request", "config_record",   "spill_task",    "spill_answer",     "load_report",
+    "job_order",      "job_result",      "job_cancel",    "host_report",      "host_records",
+    "worker_release"};
 
 } // namespace
 
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -239,10 +239,10 @@
 /// A step of a job: tasks of the same size that may run at the same time.
 struct job_step {
     std::uint32_t count = 0;
-    std::uint32_t cpu_milli = 0;    ///< thousandths of a core, for each task
-    std::uint32_t memory_mb = 0;    ///< for each task
-    std::uint32_t accelerators = 0; ///< for each task
-    std::uint32_t estimate_ms = 0;  ///< the caller's rough estimate of one task's run time
+    std::uint32_t cpu_milli = 0;           ///< thousandths of a core, for each task
+    std::uint32_t memory_mb = 0;           ///< for each task
+    std::uint32_t accelerators = 0;        ///< for each task
+    std::uint32_t estimate_ms = 0;         ///< the caller's rough estimate of one task's run time
     std::vector<std::uint32_t> depends_on; ///< earlier steps that must be complete, from 0
     bool gang = false;                     ///< all tasks must run at the same time
     bool same_rack = false;                ///< slower on more than one rack
@@ -309,18 +309,18 @@
 struct domain_claim {
     std::string domain;
     std::uint64_t epoch = 0;
-    bool swept = false;            ///< nothing that a predecessor started runs any more
-    std::uint64_t free_milli = 0;  ///< free room of the usable workers, thousandths of a core
-    std::uint32_t backlog_ms = 0;  ///< time that the waiting work will take
+    bool swept = false;           ///< nothing that a predecessor started runs any more
+    std::uint64_t free_milli = 0; ///< free room of the usable workers, thousandths of a core
+    std::uint32_t backlog_ms = 0; ///< time that the waiting work will take
     bool operator==(const domain_claim&) const = default;
 };
 
 /// What a host tells every other host at short intervals.
 struct host_report {
-    std::uint64_t fence_base = 0; ///< 0 until the platform's log has given the host a number
+    std::uint64_t fence_base = 0;   ///< 0 until the platform's log has given the host a number
     std::uint64_t known_config = 0; ///< version of the newest configuration that the host has
-    bool leaving = false; ///< the host stops as planned: it claims nothing new
-    bool able = false;    ///< the host may claim a domain
+    bool leaving = false;           ///< the host stops as planned: it claims nothing new
+    bool able = false;              ///< the host may claim a domain
     std::vector<domain_claim> claims;
     bool operator==(const host_report&) const = default;
 };
@@ -367,9 +367,9 @@
 
 template <>
 struct enum_names<wire::job_end> {
-    static constexpr std::array<std::string_view, 8> names{
-        "completed",  "failed",      "overloaded", "not_owner",
-        "impossible", "interrupted", "abandoned",  "expired"};
+    static constexpr std::array<std::string_view, 8> names{"completed", "failed",     "overloaded",
+                                                           "not_owner", "impossible", "interrupted",
+                                                           "abandoned", "expired"};
 };
 
 template <>
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
-run-clang-tidy -quiet -p "$build" -j "$(nproc)" "${@:-.*/(modules|apps|testing|bench)/.*\.cpp$}" \
+run-clang-tidy -quiet -p "$build" -j "$(nproc)" "${@:-.*/(modules|platform|apps|testing|bench)/.*\.cpp$}" \
     > "$build/lint.log" 2>&1 || { grep -E 'error:|warning:' -A4 "$build/lint.log"; exit 1; }
 echo "lint: clean"
