--- a/modules/fleet/claim_policy.h
+++ b/modules/fleet/claim_policy.h
@@ -29,7 +29,7 @@
 class claim_policy {
 public:
     /// Time after the start in which nothing is claimed, so that reports of owners arrive first.
-    static constexpr duration settle = milliseconds{800};
+    static constexpr duration settle = milliseconds{300};
     /// Each host waits this much longer than the one that goes before it.
     static constexpr duration rank_delay = milliseconds{250};
     /// Hosts of other domains leave the domain's own hosts this much time to come back.
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -62,12 +62,12 @@
 
     void start(start_order order, std::function<void(const order_reply&)> reply) override
     {
-        send(std::move(order), std::move(reply), &fleet_world::start_on);
+        send(std::move(order), reply, &fleet_world::start_on);
     }
 
     void stop(stop_order order, std::function<void(const order_reply&)> reply) override
     {
-        send(std::move(order), std::move(reply), &fleet_world::stop_on);
+        send(std::move(order), reply, &fleet_world::stop_on);
     }
 
     void look(look_order order, std::function<void(look_reply)> reply) override
@@ -102,7 +102,7 @@
 
 private:
     template <class Order>
-    void send(Order order, std::function<void(const order_reply&)> reply,
+    void send(Order order, const std::function<void(const order_reply&)>& reply,
               void (fleet_world::*carry_out)(sim_worker&, const Order&, order_reply&))
     {
         auto& world = world_;
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -106,15 +106,19 @@
         clock_.observe(*reply.clock_ms, now);
     const auto found = tasks_.find(task);
     const bool known = found != tasks_.end() && found->second.run == run;
+    if (reply.outcome != order_outcome::unanswered)
+        answered_at_ = std::max(answered_at_, now);
     if (reply.outcome == order_outcome::accepted) {
         if (known && found->second.accepted == time_point{})
             found->second.accepted = now;
         return;
     }
     if (reply.outcome == order_outcome::unanswered) {
-        miss(now);
         if (!known || found->second.accepted != time_point{})
             return;
+        // One lost order does not make a worker silent that has answered others since.
+        if (answered_at_ < found->second.ordered)
+            miss(now);
         found->second.unanswered = true;
         send_stop(found->second, now);
         return;
@@ -163,8 +167,13 @@
     const auto found = tasks_.find(task);
     if (found == tasks_.end() || found->second.run != run)
         return;
-    if (reply.outcome == order_outcome::accepted && found->second.stop_accepted == time_point{})
-        found->second.stop_accepted = reply.received;
+    if (reply.outcome != order_outcome::accepted || found->second.stop_accepted != time_point{})
+        return;
+    found->second.stop_accepted = reply.received;
+    answered_at_ = std::max(answered_at_, reply.received);
+    // A run that was never there ends no waiting look, so its room is asked for at once.
+    if (found->second.accepted == time_point{})
+        send_look(reply.received, duration{0});
 }
 
 void worker_session::send_foreign_stop(const std::string& task, std::uint32_t run, time_point now)
@@ -191,13 +200,23 @@
 void worker_session::look(time_point now)
 {
     looking_ = true;
-    look_order order{address(), token_, seen_end_, {}, {}};
+    const bool waits = phase_ == phase::owned && misses_ == 0 && !tasks_.empty();
+    send_look(now, waits ? look_wait : duration{0});
+}
+
+void worker_session::send_look(time_point now, duration wait)
+{
+    const auto number = ++looks_;
+    if (looking_ && last_look_ == 0)
+        last_look_ = number;
+    look_order order{address(), token_, seen_end_, {}, wait};
     if (phase_ == phase::owned && clock_.known() && !tasks_.empty())
         order.expires_at_ms = expiry(now);
-    if (phase_ == phase::owned && misses_ == 0 && !tasks_.empty())
-        order.wait = look_wait;
-    port_.look(std::move(order), [self = shared_from_this(), now](const look_reply& reply) {
-        self->looking_ = false;
+    port_.look(std::move(order), [self = shared_from_this(), now, number](const look_reply& reply) {
+        if (self->last_look_ == number) {
+            self->looking_ = false;
+            self->last_look_ = 0;
+        }
         if (!self->closed_)
             self->look_answered(reply, now);
     });
@@ -227,7 +246,7 @@
     if (misses_ > 0)
         log_line{"worker_answers"}.add("worker", entry_.id).add("misses", misses_).write();
     misses_ = 0;
-    answered_at_ = now;
+    answered_at_ = std::max(answered_at_, now);
     next_look_ = now;
     if (phase_ == phase::taking)
         phase_ = phase::owned;
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -106,6 +106,7 @@
     std::int64_t expiry(time_point now);
     bool look_due(time_point now) const noexcept;
     void look(time_point now);
+    void send_look(time_point now, duration wait);
     void look_answered(const look_reply& reply, time_point sent);
     void take_note_of_ends(const look_reply& reply);
     void take_note_of_running(const look_reply& reply, time_point sent);
@@ -134,6 +135,8 @@
     time_point answered_at_{};
     time_point next_look_{};
     time_point foreign_stop_{};
+    std::uint64_t looks_ = 0;     ///< sent so far
+    std::uint64_t last_look_ = 0; ///< number of the regular look that is under way; 0 if none is
     int misses_ = 0;
     phase phase_ = phase::unowned;
     bool looking_ = false;
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -201,17 +201,20 @@
 
     void check_versions()
     {
-        std::map<int, std::int64_t> last;
+        // A paused host answers the questions that wait for it in any order, so a sample is
+        // compared with those that were answered before it was asked.
         for (const auto& one : seen_.versions) {
+            std::int64_t known = 0;
+            for (const auto& earlier : seen_.versions) {
+                if (earlier.entry == one.entry && earlier.answered <= one.asked)
+                    known = std::max(known, earlier.version);
+            }
             // A host that has just started has no version until it has read one.
-            if (one.version > 0 && one.version < last[one.entry])
+            if (one.version > 0 && one.version < known)
                 broken_.push_back({8,
                                    "entry-" + std::to_string(one.entry + 1) + " went from " +
-                                       std::to_string(last[one.entry]) + " to " +
-                                       std::to_string(one.version),
+                                       std::to_string(known) + " to " + std::to_string(one.version),
                                    one.asked, one.asked});
-            if (one.version > 0)
-                last[one.entry] = one.version;
         }
         for (const auto& one : seen_.publications) {
             const auto limit = one.accepted + in_force_limit_ms;
@@ -332,8 +335,9 @@
          }},
         {"version_back",
          [&] {
-             seen.versions.push_back({0, wall_now_ms(), 1000});
-             seen.versions.push_back({0, wall_now_ms(), 999});
+             const auto now = wall_now_ms();
+             seen.versions.push_back({0, now, now, 1000});
+             seen.versions.push_back({0, now + 1, now + 1, 999});
          }},
         {"version_late",
          [&] {
--- a/testing/soak/checks.h
+++ b/testing/soak/checks.h
@@ -35,6 +35,7 @@
 struct version_sample {
     int entry;
     wall_ms asked;
+    wall_ms answered;
     std::int64_t version;
 };
 
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -116,7 +116,7 @@
                 [this, i, asked, sum, done](const json& status) {
                     if (status.is_object() && status.contains("version")) {
                         const auto version = status["version"].get<std::int64_t>();
-                        seen_.versions.push_back({i, asked, version});
+                        seen_.versions.push_back({i, asked, wall_now_ms(), version});
                         sum->ready += version > 0 && !status["draining"].get<bool>() ? 1 : 0;
                         sum->slots += status["owned_slots"].get<int>();
                     }
