--- a/modules/fleet/domain_owner.h
+++ b/modules/fleet/domain_owner.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chivewharf::fleet {
@@ -103,7 +104,10 @@
     struct waiting_job {
         time_point latest_start;
         std::string job;
-        auto operator<=>(const waiting_job&) const = default;
+        bool operator<(const waiting_job& other) const
+        {
+            return std::tie(latest_start, job) < std::tie(other.latest_start, other.job);
+        }
     };
     using job_map = std::map<std::string, std::unique_ptr<job_run>>;
 
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -402,10 +402,11 @@
         if (owned.predecessor.empty())
             continue;
         const auto* host = directory_.find(owned.predecessor);
+        const auto& name = domain;
         const bool still_owns =
             host != nullptr && directory_.alive(*host, now) &&
             std::any_of(host->report->claims.begin(), host->report->claims.end(),
-                        [&](const wire::domain_claim& one) { return one.domain == domain; });
+                        [&name](const wire::domain_claim& one) { return one.domain == name; });
         if (still_owns)
             continue;
         owned.predecessor.clear();
