Call a domain swept only if every worker has answered its new owner

Coordinators then sent jobs to other owners at once. Silence is no proof now; such jobs wait for the end of the lease.

--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -165,11 +165,11 @@
         workers_.begin(), workers_.end(), [](auto& one) { return one.second.session->usable(); }));
 }
 
-bool domain_owner::swept(time_point now) const
+bool domain_owner::swept() const
 {
     return token_ != 0 && !suspended_ && !workers_.empty() &&
            std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
-               return !one.second.with_predecessor && one.second.session->swept(now);
+               return !one.second.with_predecessor && one.second.session->swept();
            });
 }
 
--- a/modules/fleet/domain_owner.h
+++ b/modules/fleet/domain_owner.h
@@ -75,7 +75,7 @@
     void tick(time_point now);
 
     /// True if nothing that a predecessor started can run any more.
-    bool swept(time_point now) const;
+    bool swept() const;
 
     std::uint64_t free_milli() const;
     duration backlog() const;
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -105,7 +105,7 @@
     peers_.send(host, wire::host_records{std::move(records)});
     if (config_)
         peers_.send(host, wire::config_record{config_->version, config_->record});
-    peers_.send(host, report(now));
+    peers_.send(host, report());
     router_->host_back(host, life, now);
 }
 
@@ -252,7 +252,7 @@
     std::vector<owner_view> all;
     for (const auto& [domain, owned] : owned_) {
         if (!owned.owner->leaving() && !owned.fenced)
-            all.push_back({domain, self_.host, self_.life, owned.epoch, owned.owner->swept(now),
+            all.push_back({domain, self_.host, self_.life, owned.epoch, owned.owner->swept(),
                            owned.owner->free_milli(), owned.owner->backlog()});
     }
     for (const auto& [name, host] : directory_.hosts()) {
@@ -414,7 +414,7 @@
     }
 }
 
-wire::host_report fleet_host::report(time_point now) const
+wire::host_report fleet_host::report() const
 {
     wire::host_report told;
     told.fence_base = fence_base_;
@@ -422,15 +422,14 @@
     told.leaving = leaving_;
     told.able = able() && !leaving_;
     for (const auto& [domain, owned] : owned_)
-        told.claims.push_back({domain, owned.epoch, owned.owner->swept(now),
-                               owned.owner->free_milli(),
+        told.claims.push_back({domain, owned.epoch, owned.owner->swept(), owned.owner->free_milli(),
                                static_cast<std::uint32_t>(to_ms(owned.owner->backlog()))});
     return told;
 }
 
 void fleet_host::send_report(time_point now)
 {
-    broadcast(report(now));
+    broadcast(report());
     next_report_ = now + report_interval;
 }
 
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -141,7 +141,7 @@
     bool claimed_by_staying_host(const std::string& domain, time_point now) const;
     void drop_silent(time_point now);
     bool able() const { return config_current() && workers_complete_ && fence_base_ != 0; }
-    wire::host_report report(time_point now) const;
+    wire::host_report report() const;
 
     host_identity self_;
     std::vector<std::string> domains_;
--- /dev/null
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -0,0 +1,351 @@
+#include <fleet/fleet.h>
+#include <gtest/gtest.h>
+
+namespace chivewharf::fleet {
+namespace {
+
+const time_point start{seconds{100}};
+
+/// Keeps orders for the test, which answers them.
+class recorded_worker_port final : public worker_port {
+public:
+    struct start_call {
+        start_order order;
+        std::function<void(const order_reply&)> reply;
+    };
+    struct look_call {
+        look_order order;
+        std::function<void(look_reply)> reply;
+    };
+
+    void start(start_order order, std::function<void(const order_reply&)> reply) override
+    {
+        starts.push_back({std::move(order), std::move(reply)});
+    }
+    void stop(stop_order order, std::function<void(const order_reply&)> /*reply*/) override
+    {
+        stops.push_back(std::move(order));
+    }
+    void look(look_order order, std::function<void(look_reply)> reply) override
+    {
+        looks.push_back({std::move(order), std::move(reply)});
+    }
+
+    /// Answers the oldest look.
+    void answer_look(look_reply reply, time_point now)
+    {
+        const auto call = looks.front();
+        looks.erase(looks.begin());
+        reply.outcome = order_outcome::accepted;
+        reply.received = now;
+        call.reply(std::move(reply));
+    }
+
+    std::vector<start_call> starts;
+    std::vector<stop_order> stops;
+    std::vector<look_call> looks;
+};
+
+/// An owner of one domain with recorded workers and results.
+struct owner_fixture {
+    owner_fixture()
+        : owner{"d",
+                port,
+                metrics,
+                log,
+                {[this](const std::string&, const wire::job_result& result, time_point) {
+                     results.push_back(result);
+                 },
+                 [](time_point) {}, [](const std::string&) {}}}
+    {
+    }
+
+    void add_workers(std::vector<worker_entry> entries)
+    {
+        for (auto& entry : entries) {
+            entry.address = "10.0.0.1:1";
+            entry.service = "s";
+            entry.domain = "d";
+            entry.life = 1;
+        }
+        owner.update_workers(entries, start);
+        owner.take(1, false, start);
+        while (!port.looks.empty() && looked++ < entries.size()) {
+            look_reply reply;
+            reply.clock_ms = 1000;
+            reply.life = 1;
+            port.answer_look(reply, start);
+        }
+    }
+
+    wire::job_order order(const std::string& job, std::vector<wire::job_step> steps) const
+    {
+        wire::job_order one;
+        one.job = job;
+        one.queue = "q";
+        one.service = "s";
+        one.max_attempts = 2;
+        one.stretch = 1.6F;
+        one.target_ms = 60;
+        one.remaining_ms = 2000;
+        one.domain = "d";
+        one.steps = std::move(steps);
+        return one;
+    }
+
+    recorded_worker_port port;
+    metrics::registry metrics;
+    request_log log;
+    std::vector<wire::job_result> results;
+    std::size_t looked = 0;
+    domain_owner owner;
+};
+
+wire::job_step step(std::uint32_t count, std::uint32_t cpu_milli)
+{
+    wire::job_step one;
+    one.count = count;
+    one.cpu_milli = cpu_milli;
+    one.estimate_ms = 100;
+    return one;
+}
+
+worker_entry worker(const std::string& id, std::int64_t cpu_milli)
+{
+    worker_entry one;
+    one.id = id;
+    one.capacity = {cpu_milli, 1000, 0};
+    return one;
+}
+
+// Guards against a job that waits for room that no worker will ever have.
+TEST(domain_owner, job_larger_than_every_worker_is_refused_at_once)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    one.owner.submit(one.order("j", {step(1, 65000)}), "h", start);
+    ASSERT_EQ(one.results.size(), 1U);
+    EXPECT_EQ(one.results[0].end, wire::job_end::impossible);
+    EXPECT_TRUE(one.port.starts.empty());
+}
+
+// Guards against starts beyond a worker's room, also for tasks whose start has no answer yet.
+TEST(domain_owner, tasks_without_an_answer_occupy_room)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    one.owner.submit(one.order("j", {step(3, 27000)}), "h", start);
+    EXPECT_EQ(one.port.starts.size(), 2U);
+    one.owner.tick(start + milliseconds{20});
+    EXPECT_EQ(one.port.starts.size(), 2U);
+}
+
+// Guards against members of a gang that start without the others and wait for them.
+TEST(domain_owner, gang_starts_whole_or_not_at_all)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    auto gang = step(3, 27000);
+    gang.gang = true;
+    one.owner.submit(one.order("j", {gang}), "h", start);
+    EXPECT_TRUE(one.port.starts.empty());
+    gang.count = 2;
+    one.owner.submit(one.order("k", {gang}), "h", start);
+    ASSERT_EQ(one.port.starts.size(), 2U);
+    EXPECT_EQ(one.port.starts[0].order.run, one.port.starts[1].order.run);
+}
+
+// Guards against more tasks of a step on one worker than the job allows.
+TEST(domain_owner, spread_limit_and_label_are_kept)
+{
+    owner_fixture one;
+    auto labelled = worker("b", 64000);
+    labelled.labels = {"fast"};
+    one.add_workers({worker("a", 64000), labelled});
+    auto spread = step(4, 1000);
+    spread.max_per_worker = 1;
+    one.owner.submit(one.order("j", {spread}), "h", start);
+    EXPECT_EQ(one.port.starts.size(), 2U);
+    auto bound = step(1, 1000);
+    bound.required_label = "fast";
+    one.owner.submit(one.order("k", {bound}), "h", start);
+    ASSERT_EQ(one.port.starts.size(), 3U);
+    EXPECT_EQ(one.port.starts[2].order.to.id, "b");
+}
+
+// Guards against a step that starts before the steps that it depends on.
+TEST(domain_owner, dependent_step_waits)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    auto second = step(1, 1000);
+    second.depends_on = {0};
+    one.owner.submit(one.order("j", {step(1, 1000), second}), "h", start);
+    ASSERT_EQ(one.port.starts.size(), 1U);
+    one.port.starts[0].reply({order_outcome::accepted, 1001, start + milliseconds{1}});
+    look_reply done;
+    done.clock_ms = 1100;
+    done.life = 1;
+    done.ended = {{1, "j.0.0.0", 1, task_end::done, {}}};
+    one.port.answer_look(done, start + milliseconds{100});
+    ASSERT_EQ(one.port.starts.size(), 2U);
+    EXPECT_EQ(one.port.starts[1].order.task, "j.0.1.0");
+}
+
+// Guards against attempts beyond the limit, and against a job that is never answered after them.
+TEST(domain_owner, job_fails_after_its_attempts)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000), worker("b", 64000)});
+    one.owner.submit(one.order("j", {step(1, 1000)}), "h", start);
+    for (std::uint32_t attempt = 1; attempt <= 2; ++attempt) {
+        const auto now = start + milliseconds{50} * attempt;
+        const auto& call = one.port.starts.at(attempt - 1);
+        EXPECT_EQ(call.order.run, attempt);
+        call.reply({order_outcome::accepted, 1001, now});
+        look_reply failed;
+        failed.clock_ms = 1010;
+        failed.life = 1;
+        failed.ended = {{1, "j.0.0.0", attempt, task_end::failed, {}}};
+        one.port.answer_look(failed, now);
+    }
+    ASSERT_EQ(one.results.size(), 1U);
+    EXPECT_EQ(one.results[0].end, wire::job_end::failed);
+    EXPECT_EQ(one.port.starts.size(), 2U);
+    EXPECT_NE(one.port.starts[0].order.to.id, one.port.starts[1].order.to.id);
+}
+
+// Guards against a token that two owners share, or an order that outlives its lease.
+TEST(domain_owner, orders_carry_token_and_expiry)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    one.owner.submit(one.order("j", {step(1, 1000)}), "h", start);
+    ASSERT_EQ(one.port.starts.size(), 1U);
+    EXPECT_EQ(one.port.starts[0].order.token, 1U);
+    EXPECT_EQ(one.port.starts[0].order.expires_at_ms, 1000 + to_ms(worker_session::lease));
+}
+
+// Guards against a new owner that calls workers swept which only an earlier owner can reach: their
+// tasks would be run again elsewhere while they run.
+TEST(domain_owner, silent_workers_are_not_swept)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000), worker("b", 64000)});
+    EXPECT_TRUE(one.owner.swept());
+    one.owner.take(2, false, start + seconds{1});
+    one.owner.tick(start + seconds{10});
+    EXPECT_FALSE(one.owner.swept());
+}
+
+// Guards against tasks that run on for a caller who has left.
+TEST(domain_owner, cancel_stops_tasks_and_keeps_their_room)
+{
+    owner_fixture one;
+    one.add_workers({worker("a", 64000)});
+    one.owner.submit(one.order("j", {step(2, 27000)}), "h", start);
+    one.owner.cancel("j", start + milliseconds{5});
+    EXPECT_EQ(one.port.stops.size(), 2U);
+    EXPECT_TRUE(one.results.empty());
+    one.owner.submit(one.order("k", {step(1, 27000)}), "h", start + milliseconds{6});
+    EXPECT_EQ(one.port.starts.size(), 2U) << "room of a task that is being stopped was given out";
+}
+
+claim_candidate candidate(const std::string& host, bool home, std::uint64_t base,
+                          std::uint64_t epoch = 0)
+{
+    return {host, home, true, false, base, epoch};
+}
+
+// Guards against two hosts that claim a domain at once, and against a domain that nobody claims.
+TEST(claim_policy, the_longest_living_home_host_claims_first)
+{
+    const std::vector<claim_candidate> hosts{candidate("a", true, 9), candidate("b", true, 3),
+                                             candidate("c", false, 1)};
+    claim_policy a{"a", start};
+    claim_policy b{"b", start};
+    claim_policy c{"c", start};
+    EXPECT_EQ(b.decide("d", hosts, start), claim_action::none);
+    const auto settled = start + claim_policy::settle;
+    EXPECT_EQ(b.decide("d", hosts, settled), claim_action::claim);
+    EXPECT_EQ(a.decide("d", hosts, settled), claim_action::none);
+    EXPECT_EQ(c.decide("d", hosts, settled), claim_action::none);
+    EXPECT_EQ(a.decide("d", hosts, settled + claim_policy::rank_delay), claim_action::claim);
+    EXPECT_EQ(c.decide("d", hosts, settled + claim_policy::rank_delay), claim_action::none);
+}
+
+// Guards against an owner that keeps a domain which a host of the domain has claimed.
+TEST(claim_policy, foreign_owner_yields_to_a_home_host)
+{
+    const std::vector<claim_candidate> hosts{candidate("a", true, 9, 20),
+                                             candidate("c", false, 1, 40)};
+    claim_policy a{"a", start};
+    claim_policy c{"c", start};
+    EXPECT_EQ(c.decide("d", hosts, start + seconds{2}), claim_action::yield);
+    EXPECT_EQ(a.decide("d", hosts, start + seconds{2}), claim_action::none);
+}
+
+// Guards against keys that stay known after the store has dropped them together with its history.
+TEST(topic_follower, restart_reports_vanished_keys)
+{
+    std::vector<std::string> seen;
+    topic_follower follower{[&seen](const keyed_record& record) {
+        seen.push_back(record.key + (record.value ? "=" + *record.value : " gone"));
+    }};
+    follower.on_page({{"a", "1", 0}, {"b", "1", 1}}, false, 2);
+    EXPECT_EQ(follower.next().offset, 2U);
+    follower.on_records({{"a", "2", 2}});
+    EXPECT_EQ(follower.next().offset, 3U);
+    follower.restart();
+    EXPECT_TRUE(follower.next().newest);
+    follower.on_page({{"a", "2", 2}}, false, 9);
+    EXPECT_EQ(seen, (std::vector<std::string>{"a=1", "b=1", "a=2", "b gone"}));
+    EXPECT_EQ(follower.next().offset, 9U);
+}
+
+// Guards against entries that lapse with the store and are taken for workers that have gone.
+TEST(worker_directory, nothing_is_removed_while_the_store_is_away)
+{
+    worker_directory directory;
+    directory.put(worker("a", 1));
+    EXPECT_TRUE(directory.refresh(start));
+    directory.store_answered(false, start);
+    directory.remove("a", start);
+    EXPECT_FALSE(directory.refresh(start + seconds{60}));
+    directory.store_answered(true, start + seconds{60});
+    EXPECT_FALSE(directory.refresh(start + seconds{62}));
+    EXPECT_TRUE(directory.refresh(start + seconds{63}));
+    EXPECT_TRUE(directory.list().empty());
+}
+
+// Guards against a lease that is taken for over while a slow clock still runs in it.
+TEST(worker_clock, slow_clock_is_waited_for)
+{
+    worker_clock clock;
+    clock.observe(5000, start);
+    EXPECT_GE(clock.certainly_past(5980), start + seconds{1});
+    EXPECT_LE(clock.estimate(start + seconds{1}), 6000);
+    clock.observe(4000, start - seconds{1});
+    EXPECT_GE(clock.estimate(start), 5000);
+}
+
+// Guards against lines of one request that are kept on one host and left out on another.
+TEST(request_log, burst_is_bounded_and_requests_stay_whole)
+{
+    request_log log;
+    std::uint32_t written = 0;
+    for (std::uint32_t i = 0; i < 5000; ++i)
+        written += log.wanted("job-" + std::to_string(i), start) ? 1 : 0;
+    EXPECT_LE(written, 2 * request_log::lines_per_second);
+    EXPECT_EQ(log.dropped(), 5000U - written);
+    for (int second = 1; second < 4; ++second) {
+        for (std::uint32_t i = 0; i < 300; ++i) {
+            const auto job = "job-" + std::to_string(i);
+            const auto now = start + seconds{second};
+            EXPECT_EQ(log.wanted(job, now), log.wanted(job, now)) << job;
+        }
+    }
+}
+
+} // namespace
+} // namespace chivewharf::fleet
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -551,9 +551,11 @@
         if (id == here)
             continue;
         settle_worker(worker);
-        if (worker.running.contains(task))
-            violation("two runs of " + task + " on " + here + " and " + id + ", run " +
-                      std::to_string(worker.running.at(task).run));
+        if (worker.running.contains(task)) {
+            std::string text = "two runs of ";
+            text.append(task).append(" on ").append(here).append(" and ").append(id);
+            violation(text + ", run " + std::to_string(worker.running.at(task).run));
+        }
     }
 }
 
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -41,7 +41,6 @@
 {
     token_ = token;
     phase_ = phase::taking;
-    taken_at_ = now;
     next_look_ = now;
     tick(now);
 }
@@ -52,14 +51,10 @@
            clock_.known();
 }
 
-bool worker_session::swept(time_point now) const noexcept
+bool worker_session::swept() const noexcept
 {
-    if (phase_ == phase::owned && foreign_.empty())
-        return true;
-    // An earlier owner that is gone cannot have renewed anything since this one began.
-    const auto lease_over =
-        std::chrono::duration_cast<duration>(longest_lease / worker_clock::slowest_rate);
-    return phase_ == phase::taking && now - taken_at_ > lease_over;
+    // Silence proves nothing: an earlier owner may reach a worker that this one cannot reach.
+    return phase_ == phase::owned && foreign_.empty();
 }
 
 room worker_session::free() const noexcept
@@ -357,10 +352,8 @@
             .write();
         foreign_.clear();
         end_all(task_end::lapsed, now);
-        if (phase_ == phase::owned) {
+        if (phase_ == phase::owned)
             phase_ = phase::taking;
-            taken_at_ = now;
-        }
         observer_.changed(now);
     }
     for (auto& [name, task] : tasks_) {
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -79,7 +79,7 @@
     bool usable() const noexcept;
 
     /// True if nothing that an earlier owner started can run any more.
-    bool swept(time_point now) const noexcept;
+    bool swept() const noexcept;
 
     bool owned() const noexcept { return phase_ == phase::owned; }
     bool answering() const noexcept { return misses_ == 0; }
@@ -131,7 +131,6 @@
     std::uint64_t seen_end_ = 0;
     std::int64_t life_ = 0;
     std::int64_t last_expiry_ms_ = 0; ///< greatest expiry that was ever ordered
-    time_point taken_at_{};
     time_point answered_at_{};
     time_point next_look_{};
     time_point foreign_stop_{};
--- a/modules/operator_cli/tests/pages_test.cpp
+++ b/modules/operator_cli/tests/pages_test.cpp
@@ -11,7 +11,7 @@
 // Guards against a reason that operators meet on call and find no instructions for.
 TEST(pages, operations_page_has_a_row_for_every_reason)
 {
-    const auto page = read_file(CHIVEWHARF_SOURCE_DIR "/docs/operations.md");
+    const auto page = read_file(CHIVEWHARF_SOURCE_DIR "/docs/OPERATIONS.md");
     for (const auto name : enum_names<reason>::names)
         EXPECT_NE(page.find("| `" + std::string{name} + "` |"), std::string::npos) << name;
 }
