Adopt a domain of others only while its workers answer

A host now probes the domain's workers with a look under a token that is too low to change anything, and claims only after 700 ms of answers while the domain's hosts are silent.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -22,6 +22,15 @@
 /// A leaving owner waits this long for a successor before it stops placing tasks.
 constexpr duration longest_succession = seconds{1};
 
+/// Before a host adopts a domain of others, that domain's workers have answered for this long while
+/// its hosts were silent. Hosts that were cut off together with them report sooner.
+constexpr duration adoption_proof = milliseconds{700};
+constexpr duration probe_interval = milliseconds{200};
+/// One worker may be down; this many probes of different workers in a row are not lost by chance.
+constexpr std::uint32_t lost_probes = 3;
+/// Lower than every owner's token: the worker refuses the look, and nothing changes there.
+constexpr std::uint64_t probe_token = 1;
+
 } // namespace
 
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
@@ -312,8 +321,48 @@
     return (epoch << token_base_bits) | (fence_base_ & mask);
 }
 
+bool fleet_host::may_adopt(const std::string& domain, time_point now)
+{
+    // A domain whose hosts and workers are both silent is cut off, and its own hosts go on serving
+    // it. Taking it over would only disturb them when the path is back.
+    auto& probe = probes_[domain];
+    if (now >= probe.next) {
+        probe.next = now + probe_interval;
+        std::vector<worker_entry> there;
+        for (auto& worker : workers_.list()) {
+            if (worker.domain == domain && !worker.leaving)
+                there.push_back(std::move(worker));
+        }
+        if (there.empty())
+            return false;
+        const auto& chosen =
+            there[static_cast<std::size_t>(now.time_since_epoch() / probe_interval) % there.size()];
+        look_order order{{chosen.id, chosen.address}, probe_token, 0, {}, {}};
+        worker_port_.look(std::move(order), [this, domain, alive = std::weak_ptr<int>{running_}](
+                                                const look_reply& reply) {
+            if (!alive.expired())
+                probe_answered(domain, reply.outcome, reply.received);
+        });
+    }
+    return probe.answered_since && now - *probe.answered_since >= adoption_proof;
+}
+
+void fleet_host::probe_answered(const std::string& domain, order_outcome outcome, time_point now)
+{
+    auto& probe = probes_[domain];
+    if (outcome != order_outcome::unanswered) {
+        probe.unanswered = 0;
+        if (!probe.answered_since)
+            probe.answered_since = now;
+    }
+    else if (++probe.unanswered >= lost_probes) {
+        probe.answered_since.reset();
+    }
+}
+
 void fleet_host::claim(const std::string& domain, bool after_leaving, time_point now)
 {
+    probes_.erase(domain);
     owned_domain owned;
     owned.epoch = next_epoch(domain);
     owned.owned_since = now;
@@ -384,7 +433,8 @@
         case claim_action::none:
             break;
         case claim_action::claim:
-            claim(domain, false, now);
+            if (domain == self_.domain || may_adopt(domain, now))
+                claim(domain, false, now);
             break;
         case claim_action::succeed:
             claim(domain, true, now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -123,9 +123,18 @@
         time_point owned_since{};
     };
 
+    /// What is known of a domain without an owner, whose workers this host could take over.
+    struct domain_probe {
+        std::optional<time_point> answered_since; ///< a worker has answered each probe since then
+        time_point next{};
+        std::uint32_t unanswered = 0; ///< probes in a row
+    };
+
     std::vector<owner_view> owners(time_point now) const;
     void check_claims(time_point now);
     std::vector<claim_candidate> candidates(const std::string& domain, time_point now) const;
+    bool may_adopt(const std::string& domain, time_point now);
+    void probe_answered(const std::string& domain, order_outcome outcome, time_point now);
     void claim(const std::string& domain, bool after_leaving, time_point now);
     void yield(const std::string& domain, time_point now);
     void take_again(const std::string& domain, owned_domain& owned, time_point now);
@@ -155,6 +164,9 @@
     claim_policy policy_;
     std::unique_ptr<job_router> router_;
     std::map<std::string, owned_domain> owned_;
+    std::map<std::string, domain_probe> probes_; ///< by domain
+    std::shared_ptr<int> running_ =
+        std::make_shared<int>(0);                         ///< late answers to probes are ignored
     std::map<std::string, std::uint64_t> greatest_epoch_; ///< heard of, by domain
     std::optional<cluster_config> config_;
     queue_index queues_;
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -434,6 +434,15 @@
         cut_from_workers_.erase(host);
 }
 
+void fleet_world::cut_domain_workers(const std::string& host, const std::string& domain,
+                                     bool is_cut)
+{
+    if (is_cut)
+        cut_from_domains_.emplace(host, domain);
+    else
+        cut_from_domains_.erase({host, domain});
+}
+
 void fleet_world::crash_worker(const std::string& id)
 {
     auto& worker = workers_.at(id);
@@ -487,7 +496,8 @@
 
 bool fleet_world::reachable(const std::string& host, const sim_worker& worker) const
 {
-    return !worker.fault.cut && !cut_from_workers_.contains(host);
+    return !worker.fault.cut && !cut_from_workers_.contains(host) &&
+           !cut_from_domains_.contains({host, worker.entry.domain});
 }
 
 void fleet_world::violation(std::string text)
--- a/modules/fleet/tests/fleet_world.h
+++ b/modules/fleet/tests/fleet_world.h
@@ -95,6 +95,8 @@
     void cut(const std::string& a, const std::string& b, bool cut);
     /// Cuts or restores the path from a host to every worker.
     void cut_workers(const std::string& host, bool cut);
+    /// Cuts or restores the path from a host to the workers of a domain.
+    void cut_domain_workers(const std::string& host, const std::string& domain, bool cut);
     void crash_worker(const std::string& worker);
     void store_up(bool up) { store_up_ = up; }
     void publish(std::uint64_t version);
@@ -166,6 +168,7 @@
     std::map<std::string, std::vector<std::string>> homes_; ///< hosts that callers use, by job
     std::set<std::pair<std::string, std::string>> cut_hosts_;
     std::set<std::string> cut_from_workers_;
+    std::set<std::pair<std::string, std::string>> cut_from_domains_; ///< host and workers' domain
     std::vector<std::string> violations_;
     std::uint64_t next_life_ = 100;
     std::uint64_t next_number_ = 0; ///< offset of the next host's record
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -267,6 +267,54 @@
     }
 }
 
+/// Cuts every path between domain 1 and the others, to its workers too, or restores it.
+void cut_domain(fleet_world& world, bool cut)
+{
+    const std::vector<std::string> inside{"host-1-0", "host-1-1"};
+    for (const auto& host : world.host_names()) {
+        if (host.starts_with("host-1"))
+            continue;
+        for (const auto& other : inside)
+            world.cut(host, other, cut);
+        world.cut_domain_workers(host, "domain-1", cut);
+    }
+    for (const auto& host : inside) {
+        world.cut_domain_workers(host, "domain-0", cut);
+        world.cut_domain_workers(host, "domain-2", cut);
+    }
+}
+
+// Guards against hosts that claim a domain which is cut off from them and disturb its own owner
+// when the path is back: its workers would be fenced, and all that runs there would be lost.
+TEST(fleet_histories, domain_that_was_cut_off_keeps_its_owner)
+{
+    fleet_world world{{}};
+    world.run_for(seconds{3});
+    cut_domain(world, true);
+    world.run_for(seconds{6});
+    cut_domain(world, false);
+    world.run_for(seconds{3});
+    std::uint64_t claims = 0;
+    for (const auto& host : world.host_names())
+        claims += world.metrics(host).counter("chivewharf_claims_total");
+    EXPECT_EQ(claims, 3U);
+    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+}
+
+// Guards against a domain that stays without an owner when all of its hosts have died.
+TEST(fleet_histories, domain_without_hosts_is_adopted)
+{
+    fleet_world world{{}};
+    world.run_for(seconds{3});
+    world.kill("host-1-0");
+    world.kill("host-1-1");
+    world.run_for(seconds{6});
+    std::uint64_t claims = 0;
+    for (const auto& host : world.host_names())
+        claims += world.metrics(host).counter("chivewharf_claims_total");
+    EXPECT_EQ(claims, 4U);
+}
+
 // Guards against tokens that do not rise when every process has died: workers would refuse all.
 TEST(fleet_histories, serves_after_every_process_has_died)
 {
