--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -84,7 +84,7 @@
 bool job_router::safe_at(const routed_job& job, const owner_view& owner, time_point now) const
 {
     return !job.unsafe_owner || now > job.unsafe_until ||
-           (owner.domain == job.unsafe_owner->domain && owner.swept &&
+           (job.sweep_ends_it && owner.domain == job.unsafe_owner->domain && owner.swept &&
             owner.epoch > job.unsafe_owner->epoch);
 }
 
@@ -95,6 +95,7 @@
     // A job that was unsafe before is so under both owners; the later end holds for any owner.
     job.unsafe_until = job.unsafe_owner ? std::max(job.unsafe_until, until) : until;
     job.unsafe_owner = job.owner;
+    job.sweep_ends_it = true;
 }
 
 const owner_view* job_router::choose(const routed_job& job, const std::vector<owner_view>& owners,
@@ -217,6 +218,8 @@
         return;
     case wire::job_end::abandoned:
         leave_unsafe(job, now + abandoned_limit);
+        // Its owner lives, and may have held a later claim than the one that was reported.
+        job.sweep_ends_it = false;
         dispatch(job, now);
         return;
     case wire::job_end::overloaded:
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -79,6 +79,7 @@
         /// Owner under which tasks may still run, and until when; none if no task can run.
         std::optional<owner_view> unsafe_owner;
         time_point unsafe_until{};
+        bool sweep_ends_it = false;    ///< a successor's sweep makes the job safe before that
         std::set<std::string> refused; ///< domains that refused it for want of room
         bool may_have_run = false;
     };
