Join what stood twice in the platform code and remove what nothing reads

Read-through; no change in behaviour. domain_owner found a task's job twice and took a job out of its tables twice (now job_running and remove_job), and looked for a label in three places. Both daemons had their own random seed (now random_seed in base). Removed: the decoded allow_duplicates and the dialled address of a link, which nothing read, and a gauge that a test used as a flag.

--- a/modules/base/rng.h
+++ b/modules/base/rng.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.h>
+#include <cstdint>
 #include <random>
 
 namespace chivewharf {
@@ -8,6 +9,13 @@
 /// Random generator that the caller seeds and passes in, so that every decision can be replayed.
 using rng = std::mt19937_64;
 
+/// Seed that another process cannot predict. Only the shell of a process calls it.
+inline std::uint64_t random_seed()
+{
+    std::random_device source;
+    return (std::uint64_t{source()} << 32U) | source();
+}
+
 /// Uniform number in [0, 1).
 inline double uniform(rng& random)
 {
--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -1,7 +1,7 @@
 #include <daemon/entry_daemon.h>
 
 #include <base/log_line.h>
-#include <random>
+#include <base/rng.h>
 
 namespace chivewharf::daemon {
 
@@ -14,15 +14,9 @@
 /// this time; the slots are then claimed after the lease, with a quarantine.
 constexpr duration handover_limit = seconds{5};
 
-std::uint64_t random_number()
-{
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U) | source();
-}
-
 dispatch::identity make_identity(const settings::host_settings& host)
 {
-    return {host.domain, host.name, random_number()};
+    return {host.domain, host.name, random_seed()};
 }
 
 std::string platform_address(const settings::host_settings& host,
@@ -39,14 +33,14 @@
     : host_{host}, fixed_settings_{fixed_settings}, core_{std::make_unique<dispatch::entry_host>(
                                                         make_identity(host),
                                                         to_text(host.peer_address), initial,
-                                                        metrics_, random_number(),
+                                                        metrics_, random_seed(),
                                                         boot_clock::now())},
       loop_{std::make_unique<core_loop>(*core_)}, platform_{std::make_unique<platform_gateway>(
                                                       *loop_, metrics_,
                                                       platform_address(host, *initial),
-                                                      !fixed_settings, random_number())},
+                                                      !fixed_settings, random_seed())},
       peers_{std::make_unique<peer_gateway>(*loop_, metrics_, to_text(host.peer_address),
-                                            host.peer_key, random_number())},
+                                            host.peer_key, random_seed())},
       upstreams_{std::make_unique<upstream_gateway>(*loop_)},
       callers_{
           std::make_unique<caller_gateway>(*loop_, metrics_, to_text(host.caller_address),
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -2,7 +2,7 @@
 
 #include <base/log_line.h>
 #include <base/log_output.h>
-#include <random>
+#include <base/rng.h>
 #include <utility>
 
 namespace chivewharf::daemon {
@@ -16,31 +16,25 @@
 /// long after the host is not ready any more.
 constexpr duration balancer_notice = milliseconds{2200};
 
-std::uint64_t random_number()
-{
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U) | source();
-}
-
 } // namespace
 
 fleet_daemon::fleet_daemon(settings::fleet_settings settings, fleet_adapters adapters,
                            std::function<std::optional<settings::fleet_settings>()> reload)
     : settings_{std::move(settings)}, adapters_{std::move(adapters)}, reload_{std::move(reload)},
-      life_{random_number()}, root_{"root"}, main_{[this](int count) { on_stop_signal(count); }}
+      life_{random_seed()}, root_{"root"}, main_{[this](int count) { on_stop_signal(count); }}
 {
     wire::hello greeting;
     greeting.domain = settings_.domain;
     greeting.host = settings_.host;
     greeting.incarnation = life_;
     links_ =
-        std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_, random_number());
+        std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_, random_seed());
     core_ = std::make_unique<fleet::fleet_host>(
         fleet::host_identity{settings_.host, settings_.domain, to_text(settings_.peers), life_},
         settings_.domains, *adapters_.workers, *links_, *adapters_.callers, metrics_,
         adapters_.config, boot_clock::now());
     store_ = std::make_unique<store_reader>(*core_, *adapters_.store, adapters_.records, metrics_,
-                                            random_number());
+                                            random_seed());
     adapters_.callers->attach(*core_);
     connect_links();
     main_.on_reload([this] { on_reload_signal(); });
--- a/modules/daemon/link_hub.cpp
+++ b/modules/daemon/link_hub.cpp
@@ -151,7 +151,7 @@
                                 [this](const link_ptr& link, const wire::message& message) {
                                     const auto& host = link->peer().host;
                                     const auto found = by_host_.find(host);
-                                    if (found != by_host_.end() && found->second.link == link)
+                                    if (found != by_host_.end() && found->second == link)
                                         events_.received(host, message);
                                 },
                                 [this, address](const link_ptr& link, const std::string& why) {
@@ -186,16 +186,16 @@
     ++opened_;
     const auto old = by_host_.find(host);
     if (old != by_host_.end()) {
-        if (!keeps_new(*link, *old->second.link)) {
+        if (!keeps_new(*link, *old->second)) {
             link->close("another link to the host is in use");
             return;
         }
-        const auto replaced = old->second.link;
+        const auto replaced = old->second;
         by_host_.erase(old);
         replaced->close("a newer link to the host is in use");
         events_.unlinked(host);
     }
-    by_host_[host] = {link, address};
+    by_host_[host] = link;
     events_.linked(host, link->peer().domain, link->peer().incarnation);
 }
 
@@ -210,7 +210,7 @@
     }
     const auto host = link->peer().host;
     const auto found = by_host_.find(host);
-    if (found == by_host_.end() || found->second.link != link)
+    if (found == by_host_.end() || found->second != link)
         return;
     log_line{"link_closed"}.add("host", host).add("why", why).write();
     by_host_.erase(found);
@@ -225,7 +225,7 @@
         return;
     }
     // Sending may close the link, which removes the entry.
-    const auto link = found->second.link;
+    const auto link = found->second;
     link->send(message);
 }
 
@@ -234,7 +234,7 @@
     const auto found = by_host_.find(host);
     if (found == by_host_.end())
         return;
-    const auto link = found->second.link;
+    const auto link = found->second;
     link->close("the host is silent");
 }
 
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -50,10 +50,6 @@
 private:
     using link_ptr = peer_link::link_ptr;
     struct dial_request;
-    struct host_link {
-        link_ptr link;
-        std::string dialled; ///< address, if this host opened the link
-    };
 
     static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
     static void dialled(GObject* client, GAsyncResult* result, gpointer data);
@@ -79,7 +75,7 @@
     runtime::gobject_ptr<GCancellable> cancellable_;
     GSource* accept_source_ = nullptr;
     std::set<link_ptr> links_;
-    std::map<std::string, host_link> by_host_;
+    std::map<std::string, link_ptr> by_host_;
     std::map<std::string, std::string> host_at_; ///< host that answered at a dialled address
     std::set<std::string> dialling_;             ///< addresses
     runtime::timer dial_timer_;
--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/domain_owner.cpp
@@ -27,6 +27,11 @@
 /// Raises the number of a run that a worker called stale.
 constexpr std::uint32_t stale_run_step = 8;
 
+bool has_label(const worker_entry& worker, const std::string& label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
 } // namespace
 
 domain_owner::domain_owner(std::string domain, worker_port& port, metrics::registry& metrics,
@@ -112,9 +117,7 @@
         return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
             const auto& entry = one.second.session->entry();
             return entry.service == order.service && entry.capacity.holds(demand) &&
-                   (step.required_label.empty() ||
-                    std::find(entry.labels.begin(), entry.labels.end(), step.required_label) !=
-                        entry.labels.end());
+                   (step.required_label.empty() || has_label(entry, step.required_label));
         });
     });
 }
@@ -348,8 +351,7 @@
     const auto& step = job.order.steps[where.step];
     return session.usable() && now >= worker.avoid_until && entry.service == job.order.service &&
            session.free().holds(demand_of(step)) &&
-           (step.required_label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
-                                                     step.required_label) != entry.labels.end()) &&
+           (step.required_label.empty() || has_label(entry, step.required_label)) &&
            below_spread_limit(job, where, entry.id);
 }
 
@@ -386,9 +388,7 @@
             cost = -1e3 + 100 * model_.speed(id) +
                    static_cast<double>(left) /
                        static_cast<double>(worker.session->entry().capacity.cpu_milli);
-        const auto& labels = worker.session->entry().labels;
-        if (!step.data_rack.empty() &&
-            std::find(labels.begin(), labels.end(), step.data_rack) == labels.end())
+        if (!step.data_rack.empty() && !has_label(worker.session->entry(), step.data_rack))
             cost += 2 * to_seconds(expected);
         if (id == last_worker)
             cost += 1e4;
@@ -447,7 +447,7 @@
 {
     ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
     auto& worker = workers_.at(session.entry().id);
-    const auto job_id = held.task.substr(0, held.task.find('.'));
+    const auto job_id = job_run::job_of(held.task);
     if (log_.wanted(job_id, now))
         log_line{"task_end"}
             .add("job", job_id)
@@ -464,14 +464,12 @@
     else if (end == task_end::failed && ++worker.consecutive_failures >= failures_to_avoid)
         penalise(worker, "tasks fail", now);
     leftover_.erase(held.task);
-    const auto found = jobs_.find(job_id);
-    if (found == jobs_.end())
+    auto* known = job_running(held);
+    if (known == nullptr)
         return;
-    auto& job = *found->second;
+    auto& job = *known;
     const auto where = job_run::place_of(held.task);
     auto& task = job.task(where);
-    if (task.state != task_state::active || task.run != held.run)
-        return;
     auto& step = job.steps[where.step];
     --step.active;
     if (!saved.empty())
@@ -512,21 +510,19 @@
     if (why == order_outcome::refused || why == order_outcome::no_room)
         penalise(workers_.at(session.entry().id), to_name(why), now);
     leftover_.erase(held.task);
-    const auto job_id = held.task.substr(0, held.task.find('.'));
+    const auto job_id = job_run::job_of(held.task);
     log_line{"start_rejected"}
         .add("job", job_id)
         .add("task", held.task)
         .add("worker", session.entry().id)
         .add("why", to_name(why))
         .write();
-    const auto found = jobs_.find(job_id);
-    if (found == jobs_.end())
+    auto* known = job_running(held);
+    if (known == nullptr)
         return;
-    auto& job = *found->second;
+    auto& job = *known;
     const auto where = job_run::place_of(held.task);
     auto& task = job.task(where);
-    if (task.state != task_state::active || task.run != held.run)
-        return;
     task.state = task_state::waiting;
     --job.steps[where.step].active;
     if (why == order_outcome::stale_run)
@@ -569,6 +565,28 @@
     }
 }
 
+std::unique_ptr<job_run> domain_owner::remove_job(const std::string& id, time_point now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return nullptr;
+    auto job = std::move(found->second);
+    jobs_.erase(found);
+    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
+    stop_tasks(*job, now);
+    return job;
+}
+
+job_run* domain_owner::job_running(const held_task& held)
+{
+    const auto found = jobs_.find(job_run::job_of(held.task));
+    if (found == jobs_.end())
+        return nullptr;
+    const auto& task = found->second->task(job_run::place_of(held.task));
+    const bool current = task.state == task_state::active && task.run == held.run;
+    return current ? found->second.get() : nullptr;
+}
+
 void domain_owner::count_end(wire::job_end end)
 {
     ++metrics_.counter("chivewharf_job_ends_total", "end=\"" + std::string{to_name(end)} + '"');
@@ -576,13 +594,9 @@
 
 void domain_owner::finish(const std::string& id, wire::job_end end, time_point now)
 {
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end())
+    const auto job = remove_job(id, now);
+    if (!job)
         return;
-    const auto job = std::move(found->second);
-    jobs_.erase(found);
-    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
-    stop_tasks(*job, now);
     count_end(end);
     if (log_.wanted(id, now))
         log_line{"job_end"}
@@ -597,13 +611,9 @@
 
 void domain_owner::cancel(const std::string& id, time_point now)
 {
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end())
+    const auto job = remove_job(id, now);
+    if (!job)
         return;
-    const auto job = std::move(found->second);
-    jobs_.erase(found);
-    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
-    stop_tasks(*job, now);
     ++metrics_.counter("chivewharf_jobs_cancelled_total");
     if (log_.wanted(id, now))
         log_line{"job_cancelled"}
@@ -676,7 +686,7 @@
         for (const auto& [name, held] : session.tasks()) {
             if (held.stopping || held.percent_at == time_point{})
                 continue;
-            const auto job = jobs_.find(held.task.substr(0, held.task.find('.')));
+            const auto job = jobs_.find(job_run::job_of(held.task));
             if (job == jobs_.end())
                 continue;
             const auto where = job_run::place_of(name);
--- a/modules/fleet/domain_owner.h
+++ b/modules/fleet/domain_owner.h
@@ -130,6 +130,10 @@
     void penalise(managed_worker& worker, std::string_view why, time_point now);
     void finish(const std::string& job, wire::job_end end, time_point now);
     void end_all_jobs(time_point now);
+    /// Takes the job out of all tables and stops its tasks; null if it is not known.
+    std::unique_ptr<job_run> remove_job(const std::string& job, time_point now);
+    /// The job for which the run counts; null if it is over or the run is an earlier one.
+    job_run* job_running(const held_task& held);
     void stop_tasks(const job_run& job, time_point now);
     void check_progress(time_point now);
     void check_deadlines(time_point now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -42,11 +42,10 @@
     std::string job;
     std::string payload;
     std::vector<wire::job_step> steps;
-    bool durable = false;           ///< must outlive the caller's connection
-    bool repeated = false;          ///< runs more than once
-    bool perpetual = false;         ///< runs until it is cancelled
-    bool fills_leftover = false;    ///< uses only room that others leave
-    bool allows_duplicates = false; ///< copies may run at the same time
+    bool durable = false;        ///< must outlive the caller's connection
+    bool repeated = false;       ///< runs more than once
+    bool perpetual = false;      ///< runs until it is cancelled
+    bool fills_leftover = false; ///< uses only room that others leave
 };
 
 /// One host: joins what the store, other hosts, workers and callers tell, and decides. Everything
--- a/modules/fleet/job_run.cpp
+++ b/modules/fleet/job_run.cpp
@@ -85,6 +85,11 @@
     return order.job + ".0." + std::to_string(place.step) + '.' + std::to_string(place.index);
 }
 
+std::string job_run::job_of(std::string_view task_name)
+{
+    return std::string{task_name.substr(0, task_name.find('.'))};
+}
+
 task_place job_run::place_of(std::string_view task_name)
 {
     task_place place;
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -59,6 +59,9 @@
     /// `JOB.0.STEP.INDEX`
     std::string task_name(task_place place) const;
 
+    /// Id of the job of a task.
+    static std::string job_of(std::string_view task_name);
+
     /// Place of the task with the name. Call it only with names that `task_name` made.
     static task_place place_of(std::string_view task_name);
 
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -186,6 +186,7 @@
     std::uint64_t life = 0;
     bool alive = false;
     bool frozen = false;
+    bool announced = false; ///< the store has given it a number
     std::uint64_t shown_config = 0;
     std::uint64_t next_request = 1;
     std::set<std::string> linked;
@@ -296,6 +297,7 @@
     host.life = next_life_++;
     host.alive = true;
     host.frozen = false;
+    host.announced = false;
     host.shown_config = 0;
     host.backlog.clear();
     host.linked.clear();
@@ -339,7 +341,6 @@
 {
     host.core->store_answered(store_up_, now_);
     if (store_up_) {
-        static const std::string none;
         if (!host.core->config() || host.core->config()->version < version_)
             host.core->config_read(config_text(version_), now_);
         for (const auto& [id, worker] : workers_) {
@@ -348,10 +349,8 @@
             host.core->worker_listed(entry);
         }
         host.core->workers_complete();
-        if (host.metrics->gauge("test_announced") == 0) {
-            host.metrics->gauge("test_announced") = 1;
+        if (!std::exchange(host.announced, true))
             host.core->fence_base_granted(next_number_++);
-        }
     }
     schedule(now_ + store_interval, [this, name = host.name, life = host.life] {
         deliver(name, life, [this, name] { feed_store(*hosts_.at(name)); });
