runtime: Fire all timers from one source of the loop

Each pass of GLib's loop visits every source.

One source now fires all timers in order of their time.

--- a/modules/runtime/timer.cpp
+++ b/modules/runtime/timer.cpp
@@ -1,53 +1,164 @@
 #include <runtime/timer.h>
 
 #include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
 
 namespace chivewharf::runtime {
 
 namespace {
 
-guint rounded_up_ms(duration d)
+constexpr gint64 us_per_ms = 1000;
+
+gint64 rounded_up_us(duration d)
 {
-    const auto ms = to_ms(d + milliseconds{1} - duration{1});
-    return static_cast<guint>(std::max<std::int64_t>(ms, 0));
+    const auto us = std::chrono::ceil<std::chrono::microseconds>(d).count();
+    return std::max<gint64>(us, 0);
 }
 
 } // namespace
 
+/// The armed timers, fired by one source of the default main context.
+class timer_queue {
+public:
+    static timer_queue& instance()
+    {
+        // Never destroyed, since timers of static objects may outlive it otherwise.
+        static auto* queue = new timer_queue;
+        return *queue;
+    }
+
+    timer_queue(const timer_queue&) = delete;
+    timer_queue& operator=(const timer_queue&) = delete;
+
+    std::uint64_t add(timer& added, gint64 due)
+    {
+        armed_.insert({due, ++last_order_, &added});
+        return last_order_;
+    }
+
+    void remove(timer& removed) { armed_.erase({removed.due_, removed.order_, &removed}); }
+
+private:
+    struct queue_source {
+        GSource base;
+        timer_queue* queue;
+    };
+    using entry = std::tuple<gint64, std::uint64_t, timer*>;
+
+    timer_queue()
+    {
+        static GSourceFuncs functions{&timer_queue::prepare,
+                                      &timer_queue::check,
+                                      &timer_queue::dispatch,
+                                      nullptr,
+                                      nullptr,
+                                      nullptr};
+        auto* source = g_source_new(&functions, sizeof(queue_source));
+        reinterpret_cast<queue_source*>(source)->queue = this;
+        g_source_attach(source, nullptr);
+        g_source_unref(source);
+    }
+    ~timer_queue() = default;
+
+    static timer_queue& of(GSource* source)
+    {
+        return *reinterpret_cast<queue_source*>(source)->queue;
+    }
+
+    bool due(gint64 now) const { return !armed_.empty() && std::get<0>(*armed_.begin()) <= now; }
+
+    static gboolean prepare(GSource* source, gint* timeout_ms)
+    {
+        const auto& queue = of(source);
+        *timeout_ms = -1;
+        if (queue.armed_.empty())
+            return FALSE;
+        const auto now = g_source_get_time(source);
+        if (queue.due(now))
+            return TRUE;
+        const auto left = std::get<0>(*queue.armed_.begin()) - now;
+        *timeout_ms = static_cast<gint>(
+            std::min<gint64>((left + us_per_ms - 1) / us_per_ms, std::numeric_limits<gint>::max()));
+        return FALSE;
+    }
+
+    static gboolean check(GSource* source)
+    {
+        return of(source).due(g_source_get_time(source)) ? TRUE : FALSE;
+    }
+
+    static gboolean dispatch(GSource* source, GSourceFunc /*call*/, gpointer /*data*/)
+    {
+        of(source).fire_due(g_source_get_time(source));
+        return G_SOURCE_CONTINUE;
+    }
+
+    void fire_due(gint64 now)
+    {
+        // What is armed by a call waits for the next pass of the loop.
+        const auto last = last_order_;
+        for (auto it = armed_.begin(); it != armed_.end() && std::get<0>(*it) <= now;) {
+            if (std::get<1>(*it) > last) {
+                ++it;
+                continue;
+            }
+            auto* next = std::get<2>(*it);
+            armed_.erase(it);
+            next->fire(now);
+            it = armed_.begin();
+        }
+    }
+
+    std::set<entry> armed_;
+    std::uint64_t last_order_ = 0;
+};
+
+void timer::arm(duration delay)
+{
+    due_ = g_get_monotonic_time() + rounded_up_us(delay);
+    order_ = timer_queue::instance().add(*this, due_);
+    active_ = true;
+}
+
 void timer::once(duration delay, std::function<void()> call)
 {
     cancel();
     call_ = std::move(call);
-    repeat_ = false;
-    source_ = g_timeout_add(rounded_up_ms(delay), &timer::fire, this);
+    interval_ = 0;
+    arm(delay);
 }
 
 void timer::every(duration interval, std::function<void()> call)
 {
     cancel();
     call_ = std::move(call);
-    repeat_ = true;
-    source_ = g_timeout_add(rounded_up_ms(interval), &timer::fire, this);
+    interval_ = std::max<gint64>(rounded_up_us(interval), 1);
+    arm(interval);
 }
 
 void timer::cancel() noexcept
 {
-    if (source_ == 0)
+    if (!active_)
         return;
-    g_source_remove(source_);
-    source_ = 0;
+    active_ = false;
+    timer_queue::instance().remove(*this);
 }
 
-gboolean timer::fire(gpointer self)
+void timer::fire(gint64 now)
 {
-    auto* that = static_cast<timer*>(self);
+    if (interval_ > 0) {
+        // A loop that was late does not catch up on the calls that it missed.
+        due_ = std::max(due_ + interval_, now + 1);
+        order_ = timer_queue::instance().add(*this, due_);
+    }
+    else {
+        active_ = false;
+    }
     // The call may destroy or rearm the timer, so nothing of it is used afterwards.
-    const auto call = that->call_;
-    const bool repeat = that->repeat_;
-    if (!repeat)
-        that->source_ = 0;
+    const auto call = call_;
     call();
-    return repeat ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/timer.h
+++ b/modules/runtime/timer.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <base/time.h>
+#include <cstdint>
 #include <functional>
 #include <glib.h>
 
 namespace chivewharf::runtime {
 
-/// A timer of the default main context. Cancelled when it is destroyed.
+/// A timer of the default main context. Cancelled when it is destroyed. All timers share one source
+/// of the loop, because each pass of the loop visits every source.
 class timer {
 public:
     timer() = default;
@@ -23,14 +25,19 @@
     void every(duration interval, std::function<void()> call);
 
     void cancel() noexcept;
-    bool active() const noexcept { return source_ != 0; }
+    bool active() const noexcept { return active_; }
 
 private:
-    static gboolean fire(gpointer self);
+    friend class timer_queue;
+
+    void arm(duration delay);
+    void fire(gint64 now);
 
     std::function<void()> call_;
-    guint source_ = 0;
-    bool repeat_ = false;
+    gint64 due_ = 0;          ///< in the loop's clock, microseconds
+    std::uint64_t order_ = 0; ///< of being armed
+    gint64 interval_ = 0;     ///< microseconds; 0 fires once
+    bool active_ = false;
 };
 
 } // namespace chivewharf::runtime
