--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -30,7 +30,9 @@
     links_ =
         std::make_unique<link_hub>(greeting, to_text(settings_.peers), metrics_, random_seed());
     core_ = std::make_unique<fleet::fleet_host>(
-        fleet::host_identity{settings_.host, settings_.domain, to_text(settings_.peers), life_},
+        fleet::host_identity{
+            settings_.host, settings_.domain, to_text(settings_.peers), life_,
+            static_cast<std::uint32_t>(1000 * settings_.core_share * settings_.cores)},
         settings_.domains, *adapters_.workers, *links_, *adapters_.callers, metrics_,
         adapters_.config, boot_clock::now());
     store_ = std::make_unique<store_reader>(*core_, *adapters_.store, adapters_.records, metrics_,
--- a/modules/fleet/claim_policy.cpp
+++ b/modules/fleet/claim_policy.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+/// Processor time for each shard if the host owned this many.
+double share(const claim_candidate& host, std::size_t owned)
+{
+    return static_cast<double>(host.processor_milli) /
+           static_cast<double>(std::max<std::size_t>(owned, 1));
+}
+
 /// Order of claims: hosts that stay, then the domain's own, then the higher epoch.
 bool goes_before(const claim_candidate& a, const claim_candidate& b)
 {
@@ -14,15 +21,22 @@
            std::tuple{!b.leaving, b.home, b.epoch, b.host};
 }
 
-/// Order of hosts without a claim: the domain's own, then those that have lived longest.
+/// Order of hosts without a claim: the domain's own, then those with the most processor time for
+/// one shard more, then those that have lived longest.
 bool preferred(const claim_candidate& a, const claim_candidate& b)
 {
-    return std::tuple{!a.home, a.fence_base, a.host} < std::tuple{!b.home, b.fence_base, b.host};
+    return std::tuple{!a.home, -share(a, a.owned + 1), a.fence_base, a.host} <
+           std::tuple{!b.home, -share(b, b.owned + 1), b.fence_base, b.host};
+}
+
+bool may_claim(const claim_candidate& host)
+{
+    return host.able && !host.leaving;
 }
 
 } // namespace
 
-claim_action claim_policy::decide(const std::string& domain,
+claim_action claim_policy::decide(const wire::shard& shard,
                                   const std::vector<claim_candidate>& hosts, time_point now)
 {
     const claim_candidate* owner = nullptr;
@@ -35,30 +49,37 @@
     }
     if (self == nullptr)
         return claim_action::none;
+    const auto rank = std::count_if(hosts.begin(), hosts.end(), [&](const claim_candidate& one) {
+        return may_claim(one) && preferred(one, *self);
+    });
     if (owner != nullptr && !owner->leaving) {
-        unowned_since_.erase(domain);
-        if (self->epoch == 0 || owner == self)
-            // A home host takes its domain back from one of another domain.
-            return self->epoch == 0 && self->able && !self->leaving && self->home && !owner->home &&
-                           std::none_of(hosts.begin(), hosts.end(),
-                                        [&](const claim_candidate& one) {
-                                            return one.home && one.able && !one.leaving &&
-                                                   preferred(one, *self);
-                                        })
-                       ? claim_action::claim
-                       : claim_action::none;
-        return self->leaving ? claim_action::none : claim_action::yield;
+        unowned_since_.erase(shard);
+        if (owner == self)
+            return claim_action::none;
+        if (self->epoch > 0)
+            return self->leaving ? claim_action::none : claim_action::yield;
+        // A home host takes its domain back from one of another domain.
+        const bool takes_back = may_claim(*self) && self->home && !owner->home && rank == 0;
+        return takes_back ? claim_action::claim : claim_action::none;
     }
-    if (self->leaving || !self->able || self->epoch > 0 || now - started_ < settle)
+    if (!may_claim(*self) || self->epoch > 0 || now - started_ < settle)
         return claim_action::none;
-    const auto since = unowned_since_.try_emplace(domain, now).first->second;
-    const auto rank = std::count_if(hosts.begin(), hosts.end(), [&](const claim_candidate& one) {
-        return one.able && !one.leaving && preferred(one, *self);
-    });
+    const auto since = unowned_since_.try_emplace(shard, now).first->second;
     const auto wait = rank * rank_delay + (self->home ? duration{0} : foreign_delay);
     if (now - since < wait)
         return claim_action::none;
     return owner != nullptr ? claim_action::succeed : claim_action::claim;
 }
 
+bool claim_policy::should_offer(const std::vector<claim_candidate>& hosts) const
+{
+    const auto self = std::find_if(hosts.begin(), hosts.end(),
+                                   [this](const auto& one) { return one.host == self_; });
+    return self != hosts.end() &&
+           std::any_of(hosts.begin(), hosts.end(), [&](const claim_candidate& one) {
+               return one.home && may_claim(one) && one.epoch == 0 &&
+                      share(one, one.owned + 1) > offer_factor * share(*self, self->owned);
+           });
+}
+
 } // namespace chivewharf::fleet
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -2,14 +2,13 @@
 
 /// Module fleet: decisions of a host that dispatches jobs on a shared platform (docs/platform.md).
 ///
-/// Purpose: routing of jobs, claims on failure domains, leases and room of workers, placement,
+/// Purpose: routing of jobs, claims on shards of workers, leases and room of workers, placement,
 /// retries, and the configuration by version.
 /// Depends on: base, metrics, wire (types of the messages between hosts).
 /// Does no input or output except log lines and reads no clock; orders leave through `ports.h`.
 
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
-#include <fleet/domain_owner.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
@@ -17,6 +16,8 @@
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
+#include <fleet/shard_owner.h>
+#include <fleet/shard_plan.h>
 #include <fleet/topic_follower.h>
 #include <fleet/types.h>
 #include <fleet/worker_clock.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -8,7 +8,18 @@
 
 namespace {
 
+/// Between reports to hosts that need this one's load, or its sign of life.
 constexpr duration report_interval = milliseconds{100};
+/// Between reports to other hosts.
+constexpr duration slow_report_interval = seconds{1};
+/// A newer configuration that another host has shown is asked for after this time, unless the store
+/// gives it first.
+constexpr duration config_fetch_delay = milliseconds{80};
+constexpr duration config_fetch_retry = milliseconds{300};
+/// The own configuration stays in use for this long after a newer one was heard of.
+constexpr duration config_lag_limit = milliseconds{200};
+/// A shard is offered when another host should have owned it for this long.
+constexpr duration offer_delay = seconds{2};
 /// Bits of a token below the epoch, for the number that is the process's own.
 constexpr unsigned token_base_bits = 20;
 /// Epochs that a process may use before it could reach those of one that starts later.
@@ -43,7 +54,8 @@
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
         [this](const std::string& host, const wire::message& message, time_point at) {
             to_owner(host, message, at);
-        });
+        },
+        self_.life);
 }
 
 void fleet_host::fence_base_granted(std::uint64_t number)
@@ -79,13 +91,31 @@
     queues_ = queue_index{config_->queues};
     newest_config_ = std::max(newest_config_, config_->version);
     metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_->version);
-    broadcast(wire::config_record{config_->version, config_->record});
     send_report(now);
 }
 
-bool fleet_host::config_current() const
+bool fleet_host::config_current(time_point now) const
 {
-    return config_ && config_->version >= newest_config_;
+    return config_ && (config_->version >= newest_config_ || now - newer_heard_ < config_lag_limit);
+}
+
+void fleet_host::fetch_config(time_point now)
+{
+    const auto version = config_ ? config_->version : 0;
+    if (version >= newest_config_ || now - newer_heard_ < config_fetch_delay ||
+        now - config_asked_ < config_fetch_retry)
+        return;
+    std::vector<std::string> have_it;
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (host.linked && host.report && host.report->known_config == newest_config_)
+            have_it.push_back(name);
+    }
+    if (have_it.empty())
+        return;
+    config_asked_ = now;
+    // Each host begins with another one, and asks the next if there is no answer.
+    const auto chosen = (self_.life + config_requests_++) % have_it.size();
+    peers_.send(have_it[chosen], wire::config_request{newest_config_});
 }
 
 void fleet_host::host_listed(const wire::host_record& record, time_point now)
@@ -112,9 +142,7 @@
     auto records = directory_.records();
     records.push_back({self_.host, self_.domain, self_.address});
     peers_.send(host, wire::host_records{std::move(records)});
-    if (config_)
-        peers_.send(host, wire::config_record{config_->version, config_->record});
-    peers_.send(host, report());
+    peers_.send(host, report(now));
     router_->host_back(host, life, now);
 }
 
@@ -123,7 +151,7 @@
     log_line{"host_unlinked"}.add("host", host).write();
     directory_.unlinked(host, now);
     router_->host_lost(host, now);
-    for (auto& [domain, owned] : owned_)
+    for (auto& [shard, owned] : owned_)
         owned.owner->requester_lost(host, now);
 }
 
@@ -142,13 +170,13 @@
     else if (const auto* order = std::get_if<wire::job_order>(&message))
         take_order(host, *order, now);
     else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message))
-        for (auto& [domain, owned] : owned_)
+        for (auto& [shard, owned] : owned_)
             owned.owner->cancel(cancelled->job, now);
 }
 
 void fleet_host::take_order(const std::string& from, const wire::job_order& order, time_point now)
 {
-    const auto found = owned_.find(order.domain);
+    const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
         found->second.owner->submit(order, from, now);
         return;
@@ -164,46 +192,49 @@
                              time_point now)
 {
     directory_.report(from, report, now);
-    newest_config_ = std::max(newest_config_, report.known_config);
+    if (report.known_config > newest_config_) {
+        if (!config_ || config_->version == newest_config_)
+            newer_heard_ = now;
+        newest_config_ = report.known_config;
+    }
+    for (const auto& domain : report.domains)
+        plan_.heard(domain);
     for (const auto& claim : report.claims) {
-        auto& greatest = greatest_epoch_[claim.domain];
+        auto& greatest = greatest_epoch_[claim.shard.domain];
         greatest = std::max(greatest, claim.epoch);
     }
-    if (config_ && report.known_config < config_->version && report.known_config != 0) {
-        // Passed on when it came into force; a host that was cut off then has missed it.
-        peers_.send(from, wire::config_record{config_->version, config_->record});
-    }
 }
 
 void fleet_host::peer_message(const std::string& host, const wire::message& message, time_point now)
 {
+    directory_.heard(host, now);
     if (const auto* order = std::get_if<wire::job_order>(&message))
         take_order(host, *order, now);
     else if (const auto* result = std::get_if<wire::job_result>(&message))
         router_->result(host, *result, now);
     else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message)) {
-        for (auto& [domain, owned] : owned_)
+        for (auto& [shard, owned] : owned_)
             owned.owner->cancel(cancelled->job, now);
     }
     else if (const auto* told = std::get_if<wire::host_report>(&message))
         take_report(host, *told, now);
+    else if (std::holds_alternative<wire::config_request>(message)) {
+        if (config_)
+            peers_.send(host, wire::config_record{config_->version, config_->record});
+    }
     else if (const auto* record = std::get_if<wire::config_record>(&message)) {
         if (!config_ || record->version > config_->version)
             config_read(record->body, now);
     }
     else if (const auto* released = std::get_if<wire::worker_release>(&message)) {
-        const auto found = owned_.find(released->domain);
-        if (found != owned_.end())
-            found->second.owner->worker_released(released->worker, now);
+        for (auto& [shard, owned] : owned_) {
+            if (shard.domain == released->domain)
+                owned.owner->worker_released(released->worker, now);
+        }
     }
     else if (const auto* records = std::get_if<wire::host_records>(&message)) {
-        wire::host_records news;
-        for (const auto& one : records->hosts) {
-            if (one.host != self_.host && directory_.learn(one, now))
-                news.hosts.push_back(one);
-        }
-        if (!news.hosts.empty())
-            broadcast(news);
+        for (const auto& one : records->hosts)
+            host_listed(one, now);
     }
 }
 
@@ -223,7 +254,7 @@
                 .write();
         return why;
     };
-    if (!config_current())
+    if (!config_current(now))
         return reject(rejection::no_config);
     const auto* queue = queues_.find(virtual_host, path);
     if (queue == nullptr)
@@ -251,7 +282,7 @@
         return true;
     // Another host may have the job's caller; owners stop its tasks.
     broadcast(wire::job_cancel{job, 0});
-    for (auto& [domain, owned] : owned_)
+    for (auto& [shard, owned] : owned_)
         owned.owner->cancel(job, now);
     return false;
 }
@@ -259,9 +290,9 @@
 std::vector<owner_view> fleet_host::owners(time_point now) const
 {
     std::vector<owner_view> all;
-    for (const auto& [domain, owned] : owned_) {
+    for (const auto& [shard, owned] : owned_) {
         if (!owned.owner->leaving() && !owned.fenced)
-            all.push_back({domain, self_.host, self_.life, owned.epoch, owned.owner->swept(),
+            all.push_back({shard, self_.host, self_.life, owned.epoch, owned.owner->swept(),
                            owned.owner->free_milli(), owned.owner->backlog()});
     }
     for (const auto& [name, host] : directory_.hosts()) {
@@ -269,39 +300,51 @@
             continue;
         for (const auto& claim : host.report->claims) {
             // A leaving owner serves until its successor has claimed.
-            if (!host.report->leaving || !claimed_by_staying_host(claim.domain, now))
-                all.push_back({claim.domain, name, host.life, claim.epoch, claim.swept,
+            if (!claim.leaving || !claimed_by_staying_host(claim.shard, now))
+                all.push_back({claim.shard, name, host.life, claim.epoch, claim.swept,
                                claim.free_milli, milliseconds{claim.backlog_ms}});
         }
     }
     return all;
 }
 
-bool fleet_host::claimed_by_staying_host(const std::string& domain, time_point now) const
+bool fleet_host::claimed_by_staying_host(const wire::shard& shard, time_point now) const
 {
-    const auto all = candidates(domain, now);
+    const auto all = candidates(shard, now);
     return std::any_of(all.begin(), all.end(),
                        [](const claim_candidate& one) { return one.epoch > 0 && !one.leaving; });
 }
 
-std::vector<claim_candidate> fleet_host::candidates(const std::string& domain, time_point now) const
+std::vector<claim_candidate> fleet_host::candidates(const wire::shard& shard, time_point now) const
 {
     std::vector<claim_candidate> all;
-    const auto mine = owned_.find(domain);
-    all.push_back({self_.host, self_.domain == domain, able(), leaving_, fence_base_,
-                   mine == owned_.end() ? 0 : mine->second.epoch});
+    const auto mine = owned_.find(shard);
+    claim_candidate self;
+    self.host = self_.host;
+    self.home = self_.domain == shard.domain;
+    self.able = able(now);
+    self.leaving = leaving_ || (mine != owned_.end() && mine->second.offered);
+    self.fence_base = fence_base_;
+    self.epoch = mine == owned_.end() ? 0 : mine->second.epoch;
+    self.owned = owned_.size();
+    self.processor_milli = self_.processor_milli;
+    all.push_back(std::move(self));
     for (const auto& [name, host] : directory_.hosts()) {
         if (!directory_.alive(host, now))
             continue;
-        claim_candidate one{name,
-                            host.record.domain == domain,
-                            host.report->able,
-                            host.report->leaving,
-                            host.report->fence_base,
-                            0};
+        claim_candidate one;
+        one.host = name;
+        one.home = host.record.domain == shard.domain;
+        one.able = host.report->able;
+        one.leaving = host.report->leaving;
+        one.fence_base = host.report->fence_base;
+        one.owned = host.report->claims.size();
+        one.processor_milli = host.report->processor_milli;
         for (const auto& claim : host.report->claims) {
-            if (claim.domain == domain)
-                one.epoch = claim.epoch;
+            if (claim.shard != shard)
+                continue;
+            one.epoch = claim.epoch;
+            one.leaving = one.leaving || claim.leaving;
         }
         all.push_back(std::move(one));
     }
@@ -360,58 +403,58 @@
     }
 }
 
-void fleet_host::claim(const std::string& domain, bool after_leaving, time_point now)
+void fleet_host::claim(const wire::shard& shard, bool after_leaving, time_point now)
 {
-    probes_.erase(domain);
-    owned_domain owned;
-    owned.epoch = next_epoch(domain);
+    probes_.erase(shard.domain);
+    owned_shard owned;
+    owned.epoch = next_epoch(shard.domain);
     owned.owned_since = now;
     if (after_leaving) {
-        for (const auto& one : candidates(domain, now)) {
+        for (const auto& one : candidates(shard, now)) {
             if (one.leaving && one.epoch > 0)
                 owned.predecessor = one.host;
         }
     }
-    domain_owner::callbacks call;
+    shard_owner::callbacks call;
     call.result = [this](const std::string& host, const wire::job_result& result, time_point at) {
         if (host == self_.host)
             router_->result(host, result, at);
         else
             peers_.send(host, result);
     };
-    call.fenced = [this, domain](time_point at) {
-        const auto found = owned_.find(domain);
+    call.fenced = [this, shard](time_point at) {
+        const auto found = owned_.find(shard);
         if (found != owned_.end() && !found->second.fenced)
             found->second.fenced = at;
     };
-    call.released = [this, domain](const std::string& worker) {
+    call.released = [this, domain = shard.domain](const std::string& worker) {
         broadcast(wire::worker_release{domain, worker});
     };
     owned.owner =
-        std::make_unique<domain_owner>(domain, worker_port_, metrics_, log_, std::move(call));
+        std::make_unique<shard_owner>(shard, worker_port_, metrics_, log_, std::move(call));
     log_line{"claim"}
-        .add("domain", domain)
+        .add("shard", to_text(shard))
         .add("epoch", owned.epoch)
         .add("predecessor", owned.predecessor)
         .write();
     ++metrics_.counter("chivewharf_claims_total");
-    auto& added = owned_.insert_or_assign(domain, std::move(owned)).first->second;
+    auto& added = owned_.insert_or_assign(shard, std::move(owned)).first->second;
     added.owner->update_workers(workers_.list(), now);
     added.owner->take(token(added.epoch), !added.predecessor.empty(), now);
     send_report(now);
 }
 
-void fleet_host::yield(const std::string& domain, time_point now)
+void fleet_host::yield(const wire::shard& shard, time_point now)
 {
-    const auto found = owned_.find(domain);
+    const auto found = owned_.find(shard);
     auto owner = std::move(found->second.owner);
-    log_line{"yield"}.add("domain", domain).add("epoch", found->second.epoch).write();
+    log_line{"yield"}.add("shard", to_text(shard)).add("epoch", found->second.epoch).write();
     owned_.erase(found);
     owner->abandon(now);
     send_report(now);
 }
 
-void fleet_host::take_again(const std::string& domain, owned_domain& owned, time_point now)
+void fleet_host::take_again(const wire::shard& shard, owned_shard& owned, time_point now)
 {
     const auto shift = std::min(owned.fences, greatest_retake_shift);
     if (now - *owned.fenced < first_retake * (1U << shift))
@@ -420,74 +463,157 @@
     ++owned.fences;
     owned.owned_since = now;
     // A predecessor of an earlier life may have been far ahead.
-    greatest_epoch_[domain] += std::uint64_t{1} << (2 * owned.fences);
-    owned.epoch = next_epoch(domain);
-    log_line{"claim_again"}.add("domain", domain).add("epoch", owned.epoch).write();
+    greatest_epoch_[shard.domain] += std::uint64_t{1} << (2 * owned.fences);
+    owned.epoch = next_epoch(shard.domain);
+    log_line{"claim_again"}.add("shard", to_text(shard)).add("epoch", owned.epoch).write();
     owned.owner->take(token(owned.epoch), false, now);
 }
 
+void fleet_host::follow_plan(time_point now)
+{
+    std::vector<wire::shard> outdated;
+    for (const auto& [shard, owned] : owned_) {
+        if (shard.count != plan_.count(shard.domain))
+            outdated.push_back(shard);
+    }
+    for (const auto& shard : outdated)
+        yield(shard, now);
+}
+
+void fleet_host::check_claim(const wire::shard& shard, time_point now)
+{
+    const auto hosts = candidates(shard, now);
+    if (shard.domain == self_.domain &&
+        std::none_of(hosts.begin(), hosts.end(),
+                     [](const claim_candidate& one) { return one.epoch > 0 && !one.leaving; }))
+        unowned_ = true;
+    switch (policy_.decide(shard, hosts, now)) {
+    case claim_action::none:
+        break;
+    case claim_action::claim:
+        if (shard.domain == self_.domain || may_adopt(shard.domain, now))
+            claim(shard, false, now);
+        break;
+    case claim_action::succeed:
+        claim(shard, true, now);
+        break;
+    case claim_action::yield:
+        yield(shard, now);
+        break;
+    }
+}
+
+void fleet_host::check_predecessor(const wire::shard& shard, owned_shard& owned, time_point now)
+{
+    if (owned.predecessor.empty())
+        return;
+    const auto* host = directory_.find(owned.predecessor);
+    const bool still_owns =
+        host != nullptr && directory_.alive(*host, now) &&
+        std::any_of(host->report->claims.begin(), host->report->claims.end(),
+                    [&shard](const wire::shard_claim& one) { return one.shard == shard; });
+    if (still_owns)
+        return;
+    owned.predecessor.clear();
+    owned.owner->predecessor_gone(now);
+}
+
 void fleet_host::check_claims(time_point now)
 {
+    follow_plan(now);
+    unowned_ = false;
     for (const auto& domain : domains_) {
-        switch (policy_.decide(domain, candidates(domain, now), now)) {
-        case claim_action::none:
-            break;
-        case claim_action::claim:
-            if (domain == self_.domain || may_adopt(domain, now))
-                claim(domain, false, now);
-            break;
-        case claim_action::succeed:
-            claim(domain, true, now);
-            break;
-        case claim_action::yield:
-            yield(domain, now);
-            break;
-        }
+        for (const auto& shard : plan_.shards_of(domain))
+            check_claim(shard, now);
     }
-    for (auto& [domain, owned] : owned_) {
+    for (auto& [shard, owned] : owned_) {
         if (owned.fenced && !leaving_)
-            take_again(domain, owned, now);
+            take_again(shard, owned, now);
         else if (owned.fences > 0 && now - owned.owned_since > retake_memory)
             owned.fences = 0;
-        if (owned.predecessor.empty())
+        check_predecessor(shard, owned, now);
+    }
+    if (!leaving_)
+        offer_shards(now);
+}
+
+void fleet_host::offer_shards(time_point now)
+{
+    // One at a time, so that the next decision sees the effect of the last one.
+    const bool moving = std::any_of(owned_.begin(), owned_.end(), [](const auto& one) {
+        return one.second.offered || !one.second.predecessor.empty() || one.second.owner->leaving();
+    });
+    for (auto& [shard, owned] : owned_) {
+        if (owned.owner->leaving())
+            continue;
+        if (!policy_.should_offer(candidates(shard, now))) {
+            owned.better_since.reset();
+            if (owned.offered && !claimed_by_staying_host(shard, now))
+                owned.offered.reset();
             continue;
-        const auto* host = directory_.find(owned.predecessor);
-        const auto& name = domain;
-        const bool still_owns =
-            host != nullptr && directory_.alive(*host, now) &&
-            std::any_of(host->report->claims.begin(), host->report->claims.end(),
-                        [&name](const wire::domain_claim& one) { return one.domain == name; });
-        if (still_owns)
+        }
+        if (!owned.better_since)
+            owned.better_since = now;
+        if (moving || owned.fenced || now - *owned.better_since < offer_delay)
             continue;
-        owned.predecessor.clear();
-        owned.owner->predecessor_gone(now);
+        owned.offered = now;
+        log_line{"shard_offered"}.add("shard", to_text(shard)).add("epoch", owned.epoch).write();
+        send_report(now);
+        return;
     }
 }
 
-wire::host_report fleet_host::report() const
+wire::host_report fleet_host::report(time_point now) const
 {
     wire::host_report told;
     told.fence_base = fence_base_;
     told.known_config = config_ ? config_->version : 0;
     told.leaving = leaving_;
-    told.able = able() && !leaving_;
-    for (const auto& [domain, owned] : owned_)
-        told.claims.push_back({domain, owned.epoch, owned.owner->swept(), owned.owner->free_milli(),
-                               static_cast<std::uint32_t>(to_ms(owned.owner->backlog()))});
+    told.able = able(now) && !leaving_;
+    told.processor_milli = self_.processor_milli;
+    told.domains = plan_.all();
+    for (const auto& [shard, owned] : owned_)
+        told.claims.push_back({shard, owned.epoch, owned.owner->swept(), owned.owner->free_milli(),
+                               static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
+                               leaving_ || owned.offered});
     return told;
 }
 
 void fleet_host::send_report(time_point now)
 {
-    broadcast(report());
-    next_report_ = now + report_interval;
+    const auto told = report(now);
+    for (auto& [name, host] : directory_.hosts()) {
+        if (!host.linked)
+            continue;
+        host.told = now;
+        peers_.send(name, told);
+    }
+}
+
+void fleet_host::send_due_reports(time_point now)
+{
+    const auto owners = router_->owners_with_jobs();
+    std::optional<wire::host_report> told;
+    for (auto& [name, host] : directory_.hosts()) {
+        const bool often = !owned_.empty() || owners.contains(name);
+        if (!host.linked || now - host.told < (often ? report_interval : slow_report_interval))
+            continue;
+        if (!told)
+            told = report(now);
+        host.told = now;
+        peers_.send(name, *told);
+    }
 }
 
 void fleet_host::drop_silent(time_point now)
 {
+    for (auto& [name, host] : directory_.hosts())
+        host.has_jobs_here = std::any_of(owned_.begin(), owned_.end(), [&](const auto& one) {
+            return one.second.owner->has_jobs_of(name);
+        });
     std::vector<std::string> silent;
     for (const auto& [name, host] : directory_.hosts()) {
-        if (host.linked && now - host.heard > host_directory::silence_limit)
+        if (directory_.silent(host, now))
             silent.push_back(name);
     }
     for (const auto& name : silent) {
@@ -501,28 +627,33 @@
     drop_silent(now);
     directory_.expire(now);
     if (workers_.refresh(now)) {
-        for (auto& [domain, owned] : owned_)
-            owned.owner->update_workers(workers_.list(), now);
+        const auto list = workers_.list();
+        if (workers_complete_)
+            plan_.observe(list);
+        for (auto& [shard, owned] : owned_)
+            owned.owner->update_workers(list, now);
     }
+    fetch_config(now);
     check_claims(now);
-    for (auto& [domain, owned] : owned_)
+    for (auto& [shard, owned] : owned_)
         owned.owner->tick(now);
-    if (leaving_)
-        hand_over(now);
+    hand_over(now);
     router_->tick(now);
-    if (now >= next_report_)
-        send_report(now);
+    send_due_reports(now);
 }
 
 void fleet_host::hand_over(time_point now)
 {
-    for (auto& [domain, owned] : owned_) {
-        const bool waited = now - leaving_since_ > longest_succession;
-        if (!owned.owner->leaving() && (waited || claimed_by_staying_host(domain, now)))
+    for (auto& [shard, owned] : owned_) {
+        if ((!leaving_ && !owned.offered) || owned.owner->leaving())
+            continue;
+        const bool waited = leaving_ && now - leaving_since_ > longest_succession;
+        if (waited || claimed_by_staying_host(shard, now))
             owned.owner->leave(now);
     }
     const auto erased = std::erase_if(owned_, [](const auto& one) {
-        return one.second.owner->released() && one.second.owner->jobs() == 0;
+        return one.second.owner->leaving() && one.second.owner->released() &&
+               one.second.owner->jobs() == 0;
     });
     if (erased > 0)
         send_report(now);
@@ -530,7 +661,7 @@
 
 bool fleet_host::ready(time_point now) const
 {
-    return !leaving_ && config_current() && !owners(now).empty();
+    return !leaving_ && config_current(now) && !owners(now).empty();
 }
 
 void fleet_host::leave(time_point now)
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -5,11 +5,12 @@
 #include <cstdint>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
-#include <fleet/domain_owner.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
+#include <fleet/shard_owner.h>
+#include <fleet/shard_plan.h>
 #include <fleet/worker_directory.h>
 #include <functional>
 #include <map>
@@ -26,8 +27,9 @@
 struct host_identity {
     std::string host;
     std::string domain;
-    std::string address;    ///< for other hosts
-    std::uint64_t life = 0; ///< random number of this process
+    std::string address;               ///< for other hosts
+    std::uint64_t life = 0;            ///< random number of this process
+    std::uint32_t processor_milli = 0; ///< processor time that it has, thousandths of a core
 };
 
 /// Why a request is not passed on.
@@ -67,7 +69,7 @@
     void config_read(const std::string& record, time_point now);
     void worker_listed(worker_entry entry) { workers_.put(std::move(entry)); }
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
-    /// Every listed worker has been read at least once: this host may claim domains.
+    /// Every listed worker has been read at least once: this host may claim shards.
     void workers_complete() { workers_complete_ = true; }
     void host_listed(const wire::host_record& record, time_point now);
     void store_answered(bool answered, time_point now) { workers_.store_answered(answered, now); }
@@ -99,7 +101,12 @@
 
     /// True if requests can be served: configuration and an owner are known.
     bool ready(time_point now) const;
-    bool config_current() const;
+    /// True if this host has a configuration, and no other has shown a newer one for longer than a
+    /// moment.
+    bool config_current(time_point now) const;
+    /// True if this host owns a shard, or could within a moment, and so needs a fresh list of
+    /// workers.
+    bool needs_workers() const { return !owned_.empty() || unowned_; }
     std::optional<cluster_config> const& config() const noexcept { return config_; }
 
     /// Begins the planned stop: claims nothing new and hands over what it owns.
@@ -112,14 +119,19 @@
 
     const host_identity& self() const noexcept { return self_; }
 
+    /// What this host tells others.
+    wire::host_report report(time_point now) const;
+
 private:
-    struct owned_domain {
-        std::unique_ptr<domain_owner> owner;
+    struct owned_shard {
+        std::unique_ptr<shard_owner> owner;
         std::uint64_t epoch = 0;
         std::string predecessor; ///< leaving host that still has workers
         std::optional<time_point> fenced;
         std::uint32_t fences = 0;
         time_point owned_since{};
+        std::optional<time_point> better_since; ///< another host should own the shard
+        std::optional<time_point> offered;      ///< the shard is to be claimed by another host
     };
 
     /// What is known of a domain without an owner, whose workers this host could take over.
@@ -131,25 +143,33 @@
 
     std::vector<owner_view> owners(time_point now) const;
     void check_claims(time_point now);
-    std::vector<claim_candidate> candidates(const std::string& domain, time_point now) const;
+    void check_claim(const wire::shard& shard, time_point now);
+    void check_predecessor(const wire::shard& shard, owned_shard& owned, time_point now);
+    void follow_plan(time_point now);
+    void offer_shards(time_point now);
+    std::vector<claim_candidate> candidates(const wire::shard& shard, time_point now) const;
     bool may_adopt(const std::string& domain, time_point now);
     void probe_answered(const std::string& domain, order_outcome outcome, time_point now);
-    void claim(const std::string& domain, bool after_leaving, time_point now);
-    void yield(const std::string& domain, time_point now);
-    void take_again(const std::string& domain, owned_domain& owned, time_point now);
+    void claim(const wire::shard& shard, bool after_leaving, time_point now);
+    void yield(const wire::shard& shard, time_point now);
+    void take_again(const wire::shard& shard, owned_shard& owned, time_point now);
     std::uint64_t next_epoch(const std::string& domain);
     std::uint64_t token(std::uint64_t epoch) const;
     void to_owner(const std::string& host, const wire::message& message, time_point now);
     void take_order(const std::string& from, const wire::job_order& order, time_point now);
     void take_report(const std::string& from, const wire::host_report& report, time_point now);
     void send_report(time_point now);
+    void send_due_reports(time_point now);
+    void fetch_config(time_point now);
     void broadcast(const wire::message& message);
     void adopt(cluster_config config, time_point now);
     void hand_over(time_point now);
-    bool claimed_by_staying_host(const std::string& domain, time_point now) const;
+    bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent(time_point now);
-    bool able() const { return config_current() && workers_complete_ && fence_base_ != 0; }
-    wire::host_report report() const;
+    bool able(time_point now) const
+    {
+        return config_current(now) && workers_complete_ && fence_base_ != 0;
+    }
 
     host_identity self_;
     std::vector<std::string> domains_;
@@ -162,7 +182,8 @@
     worker_directory workers_;
     claim_policy policy_;
     std::unique_ptr<job_router> router_;
-    std::map<std::string, owned_domain> owned_;
+    shard_plan plan_;
+    std::map<wire::shard, owned_shard> owned_;
     std::map<std::string, domain_probe> probes_; ///< by domain
     std::shared_ptr<int> running_ =
         std::make_shared<int>(0);                         ///< late answers to probes are ignored
@@ -170,11 +191,14 @@
     std::optional<cluster_config> config_;
     queue_index queues_;
     std::uint64_t newest_config_ = 0; ///< version that any host has shown
+    time_point newer_heard_{};        ///< when a newer version than the own one was first shown
+    time_point config_asked_{};
+    std::uint64_t config_requests_ = 0;
     std::uint64_t fence_base_ = 0;
-    time_point next_report_{};
     time_point leaving_since_{};
     bool workers_complete_ = false;
     bool leaving_ = false;
+    bool unowned_ = false; ///< a shard of this host's domain has no owner
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -46,12 +46,25 @@
     found->second.heard = now;
 }
 
+void host_directory::heard(const std::string& host, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end())
+        found->second.heard = now;
+}
+
+bool host_directory::silent(const host_view& host, time_point now) const
+{
+    const auto limit = host.reports_often() ? silence_limit : long_silence_limit;
+    return host.linked && now - host.heard > limit;
+}
+
 bool host_directory::alive(const host_view& host, time_point now) const
 {
     if (!host.report)
         return false;
     if (host.linked)
-        return now - host.heard < silence_limit;
+        return !silent(host, now);
     return now - host.changed < reconnect_grace;
 }
 
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <fleet/host_directory.h>
+#include <fleet/shard_plan.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_session.h>
 #include <utility>
@@ -18,14 +19,17 @@
 /// After this time, the tasks of an owner that has given up its claim have ended.
 constexpr duration abandoned_limit = worker_session::longest_lease + milliseconds{100};
 constexpr duration default_retry_after = milliseconds{500};
+/// Shards that a job is offered to before it is refused.
+constexpr std::size_t most_refusals = 3;
 /// Another domain is used only if its backlog is shorter than the home domain's by this much.
 constexpr duration spill_margin = milliseconds{20};
 
 } // namespace
 
 job_router::job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
-                       request_log& log, owners_function owners, send_function send)
-    : domain_{std::move(domain)}, callers_{callers}, metrics_{metrics}, log_{log},
+                       request_log& log, owners_function owners, send_function send,
+                       std::uint64_t seed)
+    : domain_{std::move(domain)}, random_{seed}, callers_{callers}, metrics_{metrics}, log_{log},
       owners_{std::move(owners)}, send_{std::move(send)}
 {
 }
@@ -84,7 +88,7 @@
 bool job_router::safe_at(const routed_job& job, const owner_view& owner, time_point now) const
 {
     return !job.unsafe_owner || now > job.unsafe_until ||
-           (job.sweep_ends_it && owner.domain == job.unsafe_owner->domain && owner.swept &&
+           (job.sweep_ends_it && owner.shard == job.unsafe_owner->shard && owner.swept &&
             owner.epoch > job.unsafe_owner->epoch);
 }
 
@@ -99,19 +103,24 @@
 }
 
 const owner_view* job_router::choose(const routed_job& job, const std::vector<owner_view>& owners,
-                                     time_point now) const
+                                     time_point now)
 {
     const owner_view* best = nullptr;
     duration best_cost{};
+    double best_room = 0;
     for (const auto& owner : owners) {
-        if (job.refused.contains(owner.domain) || !safe_at(job, owner, now))
+        if (job.refused.contains(owner.shard) || !safe_at(job, owner, now))
             continue;
         duration cost = owner.backlog;
-        if (owner.domain != domain_)
+        if (owner.shard.domain != domain_)
             cost += spill_margin;
-        if (best == nullptr || cost < best_cost) {
+        // All hosts have the same reports; without the random part they would all choose the same
+        // owner until its next one.
+        const auto room = static_cast<double>(owner.free_milli) * (0.5 + uniform(random_));
+        if (best == nullptr || cost < best_cost || (cost == best_cost && room > best_room)) {
             best = &owner;
             best_cost = cost;
+            best_room = room;
         }
     }
     return best;
@@ -136,7 +145,7 @@
     }
     job.where = job_place::sent;
     job.owner = owner;
-    job.order.domain = owner.domain;
+    job.order.shard = owner.shard;
     job.order.age_ms = static_cast<std::uint32_t>(to_ms(now - job.arrived));
     job.order.remaining_ms =
         static_cast<std::uint32_t>(std::max<std::int64_t>(to_ms(job.deadline - now), 0));
@@ -144,7 +153,7 @@
         log_line{"job_sent"}
             .add("job", job.order.job)
             .add("attempt", job.order.attempt)
-            .add("domain", owner.domain)
+            .add("shard", to_text(owner.shard))
             .add("owner", owner.host)
             .add("epoch", owner.epoch)
             .add("backlog_ms", to_ms(owner.backlog))
@@ -168,11 +177,12 @@
     auto& job = place->second;
     job.where = job.unsafe_owner ? job_place::unknown : job_place::unsent;
     if (why != wire::job_end::not_owner)
-        job.refused.insert(job.owner.domain);
+        job.refused.insert(job.owner.shard);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(why)} + '"');
     // Another host's claim shows within a report's time; the next tick looks for it.
-    if (why == wire::job_end::not_owner || dispatch(job, now) || job.unsafe_owner)
+    const bool offer = job.refused.size() < most_refusals;
+    if (why == wire::job_end::not_owner || (offer && dispatch(job, now)) || job.unsafe_owner)
         return;
     finish(place, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(why),
            retry_after, now);
@@ -326,6 +336,16 @@
     }));
 }
 
+std::set<std::string> job_router::owners_with_jobs() const
+{
+    std::set<std::string> hosts;
+    for (const auto& [id, job] : jobs_) {
+        if (job.where == job_place::sent)
+            hosts.insert(job.owner.host);
+    }
+    return hosts;
+}
+
 void job_router::tick(time_point now)
 {
     const busy_scope busy{*this, now};
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/rng.h>
 #include <base/time.h>
 #include <cstdint>
 #include <fleet/ports.h>
@@ -17,7 +18,7 @@
 
 /// An owner that jobs can be sent to.
 struct owner_view {
-    std::string domain;
+    wire::shard shard;
     std::string host;
     std::uint64_t life = 0; ///< of its process
     std::uint64_t epoch = 0;
@@ -36,8 +37,9 @@
     using send_function =
         std::function<void(const std::string& host, const wire::message&, time_point now)>;
 
+    /// \param seed for the choice among owners with the same load
     job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
-               request_log& log, owners_function owners, send_function send);
+               request_log& log, owners_function owners, send_function send, std::uint64_t seed);
 
     /// Takes a caller's job. `order.remaining_ms` is the time that the caller waits.
     void submit(std::uint64_t request, wire::job_order order, time_point now);
@@ -63,6 +65,9 @@
 
     std::size_t jobs() const noexcept { return jobs_.size(); }
 
+    /// Hosts that have jobs of this one.
+    std::set<std::string> owners_with_jobs() const;
+
 private:
     /// Where a job is.
     ///  - `unsent`: no owner has it. `sent`: an owner has it.
@@ -80,7 +85,7 @@
         std::optional<owner_view> unsafe_owner;
         time_point unsafe_until{};
         bool sweep_ends_it = false;    ///< a successor's sweep makes the job safe before that
-        std::set<std::string> refused; ///< domains that refused it for want of room
+        std::set<wire::shard> refused; ///< shards that refused it for want of room
         bool may_have_run = false;
     };
     using job_map = std::map<std::string, routed_job>;
@@ -95,7 +100,7 @@
     void take_result(const std::string& host, const wire::job_result& result, time_point now);
     bool safe_at(const routed_job& job, const owner_view& owner, time_point now) const;
     const owner_view* choose(const routed_job& job, const std::vector<owner_view>& owners,
-                             time_point now) const;
+                             time_point now);
     bool dispatch(routed_job& job, time_point now);
     void send_to(routed_job& job, const owner_view& owner, time_point now);
     void refused(job_map::iterator job, wire::job_end why, duration retry_after, time_point now);
@@ -105,6 +110,7 @@
     void send_cancel(const routed_job& job, time_point now);
 
     std::string domain_;
+    rng random_;
     caller_port& callers_;
     metrics::registry& metrics_;
     request_log& log_;
--- a/modules/fleet/domain_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -1,4 +1,4 @@
-#include <fleet/domain_owner.h>
+#include <fleet/shard_owner.h>
 
 #include <algorithm>
 #include <base/log_line.h>
@@ -34,19 +34,19 @@
 
 } // namespace
 
-domain_owner::domain_owner(std::string domain, worker_port& port, metrics::registry& metrics,
-                           request_log& log, callbacks call)
-    : domain_{std::move(domain)}, port_{port}, metrics_{metrics}, log_{log}, call_{std::move(call)}
+shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
+                         request_log& log, callbacks call)
+    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log}, call_{std::move(call)}
 {
 }
 
-domain_owner::~domain_owner()
+shard_owner::~shard_owner()
 {
     for (auto& [id, worker] : workers_)
         worker.session->close();
 }
 
-void domain_owner::take(std::uint64_t token, bool wait_for_release, time_point now)
+void shard_owner::take(std::uint64_t token, bool wait_for_release, time_point now)
 {
     token_ = token;
     suspended_ = false;
@@ -57,7 +57,7 @@
     }
 }
 
-void domain_owner::worker_released(const std::string& worker, time_point now)
+void shard_owner::worker_released(const std::string& worker, time_point now)
 {
     const auto found = workers_.find(worker);
     if (found == workers_.end() || !found->second.with_predecessor)
@@ -66,7 +66,7 @@
     found->second.session->take(token_, now);
 }
 
-void domain_owner::predecessor_gone(time_point now)
+void shard_owner::predecessor_gone(time_point now)
 {
     for (auto& [id, worker] : workers_) {
         if (!std::exchange(worker.with_predecessor, false))
@@ -75,7 +75,7 @@
     }
 }
 
-void domain_owner::add_worker(const worker_entry& entry, time_point now)
+void shard_owner::add_worker(const worker_entry& entry, time_point now)
 {
     managed_worker added;
     added.session = std::make_shared<worker_session>(entry, port_, *this);
@@ -84,11 +84,11 @@
         worker.session->take(token_, now);
 }
 
-void domain_owner::update_workers(const std::vector<worker_entry>& workers, time_point now)
+void shard_owner::update_workers(const std::vector<worker_entry>& workers, time_point now)
 {
     std::set<std::string> listed;
     for (const auto& entry : workers) {
-        if (entry.domain != domain_)
+        if (!contains(shard_, entry))
             continue;
         listed.insert(entry.id);
         const auto found = workers_.find(entry.id);
@@ -110,7 +110,7 @@
     schedule(now);
 }
 
-bool domain_owner::possible(const wire::job_order& order) const
+bool shard_owner::possible(const wire::job_order& order) const
 {
     return std::all_of(order.steps.begin(), order.steps.end(), [&](const wire::job_step& step) {
         const auto demand = demand_of(step);
@@ -122,7 +122,7 @@
     });
 }
 
-std::uint64_t domain_owner::capacity_milli() const
+std::uint64_t shard_owner::capacity_milli() const
 {
     std::uint64_t capacity = 0;
     for (const auto& [id, worker] : workers_) {
@@ -132,7 +132,7 @@
     return capacity;
 }
 
-duration domain_owner::backlog_before(time_point latest_start) const
+duration shard_owner::backlog_before(time_point latest_start) const
 {
     const auto capacity = capacity_milli();
     if (capacity == 0)
@@ -146,12 +146,12 @@
     return milliseconds{work / capacity};
 }
 
-duration domain_owner::backlog() const
+duration shard_owner::backlog() const
 {
     return backlog_before(time_point::max());
 }
 
-std::uint64_t domain_owner::free_milli() const
+std::uint64_t shard_owner::free_milli() const
 {
     std::uint64_t free = 0;
     for (const auto& [id, worker] : workers_) {
@@ -162,13 +162,13 @@
     return free;
 }
 
-std::size_t domain_owner::usable_workers() const
+std::size_t shard_owner::usable_workers() const
 {
     return static_cast<std::size_t>(std::count_if(
         workers_.begin(), workers_.end(), [](auto& one) { return one.second.session->usable(); }));
 }
 
-bool domain_owner::swept() const
+bool shard_owner::swept() const
 {
     return token_ != 0 && !suspended_ && !workers_.empty() &&
            std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
@@ -176,26 +176,26 @@
            });
 }
 
-time_point domain_owner::objective(const job_run& job) const
+time_point shard_owner::objective(const job_run& job) const
 {
     const auto chain = model_.nominal(job.order.queue, job.chain_estimate());
     return job.arrived + from_seconds(to_seconds(chain) * double{job.order.stretch}) +
            milliseconds{job.order.target_ms};
 }
 
-time_point domain_owner::latest_start(const job_run& job) const
+time_point shard_owner::latest_start(const job_run& job) const
 {
     return std::min(objective(job), job.deadline) -
            model_.nominal(job.order.queue, job.chain_estimate());
 }
 
-void domain_owner::enqueue(const job_run& job)
+void shard_owner::enqueue(const job_run& job)
 {
     if (job.placeable() > 0)
         waiting_.insert({latest_start(job), job.order.job});
 }
 
-void domain_owner::submit(wire::job_order order, const std::string& requester, time_point now)
+void shard_owner::submit(wire::job_order order, const std::string& requester, time_point now)
 {
     const auto known = jobs_.find(order.job);
     if (known != jobs_.end()) {
@@ -215,7 +215,7 @@
         if (log_.wanted(order.job, now))
             log_line{"job_refused"}
                 .add("job", order.job)
-                .add("domain", domain_)
+                .add("shard", to_text(shard_))
                 .add("why", to_name(why))
                 .add("waiting", std::uint64_t{waiting_.size()})
                 .add("free_milli", free_milli())
@@ -239,12 +239,12 @@
     schedule(now);
 }
 
-void domain_owner::changed(time_point now)
+void shard_owner::changed(time_point now)
 {
     schedule(now);
 }
 
-void domain_owner::schedule(time_point now)
+void shard_owner::schedule(time_point now)
 {
     if (scheduling_ || leaving_ || suspended_)
         return;
@@ -273,7 +273,7 @@
     scheduling_ = false;
 }
 
-bool domain_owner::place(job_run& job, time_point now)
+bool shard_owner::place(job_run& job, time_point now)
 {
     bool all = true;
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
@@ -295,7 +295,7 @@
     return all;
 }
 
-bool domain_owner::place_gang(job_run& job, std::size_t step, time_point now)
+bool shard_owner::place_gang(job_run& job, std::size_t step, time_point now)
 {
     auto& tasks = job.steps[step].tasks;
     if (job.steps[step].done == tasks.size() || job.steps[step].active > 0)
@@ -330,8 +330,8 @@
     return true;
 }
 
-bool domain_owner::below_spread_limit(const job_run& job, task_place where,
-                                      const std::string& worker) const
+bool shard_owner::below_spread_limit(const job_run& job, task_place where,
+                                     const std::string& worker) const
 {
     const auto limit = job.order.steps[where.step].max_per_worker;
     if (limit == 0)
@@ -343,8 +343,8 @@
     return static_cast<std::uint32_t>(there) < limit;
 }
 
-bool domain_owner::admits(const managed_worker& worker, const job_run& job, task_place where,
-                          time_point now) const
+bool shard_owner::admits(const managed_worker& worker, const job_run& job, task_place where,
+                         time_point now) const
 {
     const auto& session = *worker.session;
     const auto& entry = session.entry();
@@ -355,7 +355,7 @@
            below_spread_limit(job, where, entry.id);
 }
 
-bool domain_owner::place_task(job_run& job, task_place where, time_point now)
+bool shard_owner::place_task(job_run& job, task_place where, time_point now)
 {
     if (leftover_.contains(job.task_name(where)))
         return false;
@@ -366,8 +366,8 @@
     return true;
 }
 
-domain_owner::managed_worker* domain_owner::choose(const job_run& job, task_place where,
-                                                   const room& spare, time_point now)
+shard_owner::managed_worker* shard_owner::choose(const job_run& job, task_place where,
+                                                 const room& spare, time_point now)
 {
     const auto& step = job.order.steps[where.step];
     const duration estimate = milliseconds{step.estimate_ms};
@@ -400,8 +400,8 @@
     return best;
 }
 
-void domain_owner::order_start(job_run& job, task_place where, managed_worker& worker,
-                               time_point now)
+void shard_owner::order_start(job_run& job, task_place where, managed_worker& worker,
+                              time_point now)
 {
     auto& task = job.task(where);
     auto& session = *worker.session;
@@ -428,7 +428,7 @@
                   task.saved, now);
 }
 
-void domain_owner::penalise(managed_worker& worker, std::string_view why, time_point now)
+void shard_owner::penalise(managed_worker& worker, std::string_view why, time_point now)
 {
     worker.last_avoidance = worker.last_avoidance == duration{0}
                                 ? first_avoidance
@@ -442,8 +442,8 @@
         .write();
 }
 
-void domain_owner::task_ended(worker_session& session, const held_task& held, task_end end,
-                              const std::string& saved, time_point now)
+void shard_owner::task_ended(worker_session& session, const held_task& held, task_end end,
+                             const std::string& saved, time_point now)
 {
     ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
     auto& worker = workers_.at(session.entry().id);
@@ -502,8 +502,8 @@
     enqueue(job);
 }
 
-void domain_owner::start_rejected(worker_session& session, const held_task& held, order_outcome why,
-                                  time_point now)
+void shard_owner::start_rejected(worker_session& session, const held_task& held, order_outcome why,
+                                 time_point now)
 {
     ++metrics_.counter("chivewharf_start_rejections_total",
                        "reason=\"" + std::string{to_name(why)} + '"');
@@ -530,7 +530,7 @@
     enqueue(job);
 }
 
-void domain_owner::fenced(worker_session& /*worker*/, time_point now)
+void shard_owner::fenced(worker_session& /*worker*/, time_point now)
 {
     // Another owner sweeps the domain, and coordinators may already send its jobs elsewhere: what
     // has been started must not start again under a later token of this owner.
@@ -539,7 +539,7 @@
         end_all_jobs(now);
 }
 
-void domain_owner::end_all_jobs(time_point now)
+void shard_owner::end_all_jobs(time_point now)
 {
     std::vector<std::pair<std::string, wire::job_end>> all;
     for (const auto& [id, job] : jobs_)
@@ -548,7 +548,7 @@
         finish(id, end, now);
 }
 
-void domain_owner::stop_tasks(const job_run& job, time_point now)
+void shard_owner::stop_tasks(const job_run& job, time_point now)
 {
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
         for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
@@ -565,7 +565,7 @@
     }
 }
 
-std::unique_ptr<job_run> domain_owner::remove_job(const std::string& id, time_point now)
+std::unique_ptr<job_run> shard_owner::remove_job(const std::string& id, time_point now)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
@@ -577,7 +577,7 @@
     return job;
 }
 
-job_run* domain_owner::job_running(const held_task& held)
+job_run* shard_owner::job_running(const held_task& held)
 {
     const auto found = jobs_.find(job_run::job_of(held.task));
     if (found == jobs_.end())
@@ -587,12 +587,12 @@
     return current ? found->second.get() : nullptr;
 }
 
-void domain_owner::count_end(wire::job_end end)
+void shard_owner::count_end(wire::job_end end)
 {
     ++metrics_.counter("chivewharf_job_ends_total", "end=\"" + std::string{to_name(end)} + '"');
 }
 
-void domain_owner::finish(const std::string& id, wire::job_end end, time_point now)
+void shard_owner::finish(const std::string& id, wire::job_end end, time_point now)
 {
     const auto job = remove_job(id, now);
     if (!job)
@@ -609,7 +609,7 @@
     call_.result(job->requester, {id, job->order.attempt, end, retry_after_ms}, now);
 }
 
-void domain_owner::cancel(const std::string& id, time_point now)
+void shard_owner::cancel(const std::string& id, time_point now)
 {
     const auto job = remove_job(id, now);
     if (!job)
@@ -623,7 +623,7 @@
             .write();
 }
 
-void domain_owner::requester_lost(const std::string& host, time_point now)
+void shard_owner::requester_lost(const std::string& host, time_point now)
 {
     for (auto& [id, job] : jobs_) {
         if (job->requester == host && !job->orphaned)
@@ -631,7 +631,13 @@
     }
 }
 
-void domain_owner::leave(time_point now)
+bool shard_owner::has_jobs_of(const std::string& host) const
+{
+    return std::any_of(jobs_.begin(), jobs_.end(),
+                       [&](const auto& one) { return one.second->requester == host; });
+}
+
+void shard_owner::leave(time_point now)
 {
     leaving_ = true;
     std::vector<std::string> never_started;
@@ -644,7 +650,7 @@
     release_empty(now);
 }
 
-void domain_owner::release_empty(time_point now)
+void shard_owner::release_empty(time_point now)
 {
     // Jobs with tasks that still wait cannot be completed here; the requester sends them on.
     std::vector<std::string> stuck;
@@ -663,13 +669,13 @@
     }
 }
 
-bool domain_owner::released() const
+bool shard_owner::released() const
 {
     return leaving_ && std::all_of(workers_.begin(), workers_.end(),
                                    [](const auto& one) { return one.second.released; });
 }
 
-void domain_owner::abandon(time_point now)
+void shard_owner::abandon(time_point now)
 {
     leaving_ = true;
     end_all_jobs(now);
@@ -677,7 +683,7 @@
         worker.session->close();
 }
 
-void domain_owner::check_progress(time_point now)
+void shard_owner::check_progress(time_point now)
 {
     for (auto& [id, worker] : workers_) {
         auto& session = *worker.session;
@@ -705,7 +711,7 @@
     }
 }
 
-void domain_owner::check_deadlines(time_point now)
+void shard_owner::check_deadlines(time_point now)
 {
     std::vector<std::pair<std::string, wire::job_end>> over;
     std::vector<std::string> orphans;
@@ -724,7 +730,7 @@
         finish(id, end, now);
 }
 
-void domain_owner::tick(time_point now)
+void shard_owner::tick(time_point now)
 {
     for (auto& [id, worker] : workers_)
         worker.session->tick(now);
--- a/modules/fleet/domain_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -6,6 +6,7 @@
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
+#include <fleet/shard_plan.h>
 #include <fleet/types.h>
 #include <fleet/worker_session.h>
 #include <functional>
@@ -20,9 +21,9 @@
 
 namespace chivewharf::fleet {
 
-/// Orders all starts at the workers of one failure domain, while this host holds its claim: places
+/// Orders all starts at the workers of one shard, while this host holds its claim: places
 /// the tasks of the jobs that hosts send, runs them again where they may, and reports results.
-class domain_owner final : public session_observer {
+class shard_owner final : public session_observer {
 public:
     struct callbacks {
         /// The result of a job, for the host that sent it.
@@ -34,11 +35,11 @@
         std::function<void(const std::string& worker)> released;
     };
 
-    domain_owner(std::string domain, worker_port& port, metrics::registry& metrics,
-                 request_log& log, callbacks call);
-    ~domain_owner() override;
-    domain_owner(const domain_owner&) = delete;
-    domain_owner& operator=(const domain_owner&) = delete;
+    shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics, request_log& log,
+                callbacks call);
+    ~shard_owner() override;
+    shard_owner(const shard_owner&) = delete;
+    shard_owner& operator=(const shard_owner&) = delete;
 
     /// Takes the workers under the token. Called again with a higher one after `fenced`.
     /// \param wait_for_release workers stay with a leaving predecessor until it releases them
@@ -50,7 +51,7 @@
     /// The predecessor is gone: its workers are taken now.
     void predecessor_gone(time_point now);
 
-    /// Replaces the list of workers; entries of other domains are ignored.
+    /// Replaces the list of workers; those of other shards are ignored.
     void update_workers(const std::vector<worker_entry>& workers, time_point now);
 
     /// Takes a job, or another attempt of one that it knows.
@@ -62,6 +63,9 @@
     /// The link to a host is lost: its jobs are stopped unless it sends them again soon.
     void requester_lost(const std::string& host, time_point now);
 
+    /// True if the host waits for the result of a job.
+    bool has_jobs_of(const std::string& host) const;
+
     /// Starts nothing new and releases workers as they become empty.
     void leave(time_point now);
 
@@ -140,7 +144,7 @@
     void release_empty(time_point now);
     void count_end(wire::job_end end);
 
-    std::string domain_;
+    wire::shard shard_;
     worker_port& port_;
     metrics::registry& metrics_;
     request_log& log_;
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <fleet/fleet.h>
 #include <gtest/gtest.h>
 
@@ -49,7 +50,7 @@
 /// An owner of one domain with recorded workers and results.
 struct owner_fixture {
     owner_fixture()
-        : owner{"d",
+        : owner{{"d", 0, 1},
                 port,
                 metrics,
                 log,
@@ -88,7 +89,7 @@
         one.stretch = 1.6F;
         one.target_ms = 60;
         one.remaining_ms = 2000;
-        one.domain = "d";
+        one.shard = {"d", 0, 1};
         one.steps = std::move(steps);
         return one;
     }
@@ -98,7 +99,7 @@
     request_log log;
     std::vector<wire::job_result> results;
     std::size_t looked = 0;
-    domain_owner owner;
+    shard_owner owner;
 };
 
 wire::job_step step(std::uint32_t count, std::uint32_t cpu_milli)
@@ -119,7 +120,7 @@
 }
 
 // Guards against a job that waits for room that no worker will ever have.
-TEST(domain_owner, job_larger_than_every_worker_is_refused_at_once)
+TEST(shard_owner, job_larger_than_every_worker_is_refused_at_once)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -130,7 +131,7 @@
 }
 
 // Guards against starts beyond a worker's room, also for tasks whose start has no answer yet.
-TEST(domain_owner, tasks_without_an_answer_occupy_room)
+TEST(shard_owner, tasks_without_an_answer_occupy_room)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -141,7 +142,7 @@
 }
 
 // Guards against members of a gang that start without the others and wait for them.
-TEST(domain_owner, gang_starts_whole_or_not_at_all)
+TEST(shard_owner, gang_starts_whole_or_not_at_all)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -156,7 +157,7 @@
 }
 
 // Guards against more tasks of a step on one worker than the job allows.
-TEST(domain_owner, spread_limit_and_label_are_kept)
+TEST(shard_owner, spread_limit_and_label_are_kept)
 {
     owner_fixture one;
     auto labelled = worker("b", 64000);
@@ -174,7 +175,7 @@
 }
 
 // Guards against a step that starts before the steps that it depends on.
-TEST(domain_owner, dependent_step_waits)
+TEST(shard_owner, dependent_step_waits)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -193,7 +194,7 @@
 }
 
 // Guards against attempts beyond the limit, and against a job that is never answered after them.
-TEST(domain_owner, job_fails_after_its_attempts)
+TEST(shard_owner, job_fails_after_its_attempts)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000), worker("b", 64000)});
@@ -216,7 +217,7 @@
 }
 
 // Guards against a token that two owners share, or an order that outlives its lease.
-TEST(domain_owner, orders_carry_token_and_expiry)
+TEST(shard_owner, orders_carry_token_and_expiry)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -228,7 +229,7 @@
 
 // Guards against a new owner that calls workers swept which only an earlier owner can reach: their
 // tasks would be run again elsewhere while they run.
-TEST(domain_owner, silent_workers_are_not_swept)
+TEST(shard_owner, silent_workers_are_not_swept)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000), worker("b", 64000)});
@@ -239,7 +240,7 @@
 }
 
 // Guards against tasks that run on for a caller who has left.
-TEST(domain_owner, cancel_stops_tasks_and_keeps_their_room)
+TEST(shard_owner, cancel_stops_tasks_and_keeps_their_room)
 {
     owner_fixture one;
     one.add_workers({worker("a", 64000)});
@@ -254,7 +255,15 @@
 claim_candidate candidate(const std::string& host, bool home, std::uint64_t base,
                           std::uint64_t epoch = 0)
 {
-    return {host, home, true, false, base, epoch};
+    claim_candidate one;
+    one.host = host;
+    one.home = home;
+    one.able = true;
+    one.fence_base = base;
+    one.epoch = epoch;
+    one.owned = epoch > 0 ? 1 : 0;
+    one.processor_milli = 250;
+    return one;
 }
 
 // Guards against two hosts that claim a domain at once, and against a domain that nobody claims.
@@ -265,13 +274,14 @@
     claim_policy a{"a", start};
     claim_policy b{"b", start};
     claim_policy c{"c", start};
-    EXPECT_EQ(b.decide("d", hosts, start), claim_action::none);
+    EXPECT_EQ(b.decide({"d", 0, 1}, hosts, start), claim_action::none);
     const auto settled = start + claim_policy::settle;
-    EXPECT_EQ(b.decide("d", hosts, settled), claim_action::claim);
-    EXPECT_EQ(a.decide("d", hosts, settled), claim_action::none);
-    EXPECT_EQ(c.decide("d", hosts, settled), claim_action::none);
-    EXPECT_EQ(a.decide("d", hosts, settled + claim_policy::rank_delay), claim_action::claim);
-    EXPECT_EQ(c.decide("d", hosts, settled + claim_policy::rank_delay), claim_action::none);
+    EXPECT_EQ(b.decide({"d", 0, 1}, hosts, settled), claim_action::claim);
+    EXPECT_EQ(a.decide({"d", 0, 1}, hosts, settled), claim_action::none);
+    EXPECT_EQ(c.decide({"d", 0, 1}, hosts, settled), claim_action::none);
+    EXPECT_EQ(a.decide({"d", 0, 1}, hosts, settled + claim_policy::rank_delay),
+              claim_action::claim);
+    EXPECT_EQ(c.decide({"d", 0, 1}, hosts, settled + claim_policy::rank_delay), claim_action::none);
 }
 
 // Guards against an owner that keeps a domain which a host of the domain has claimed.
@@ -281,8 +291,92 @@
                                              candidate("c", false, 1, 40)};
     claim_policy a{"a", start};
     claim_policy c{"c", start};
-    EXPECT_EQ(c.decide("d", hosts, start + seconds{2}), claim_action::yield);
-    EXPECT_EQ(a.decide("d", hosts, start + seconds{2}), claim_action::none);
+    EXPECT_EQ(c.decide({"d", 0, 1}, hosts, start + seconds{2}), claim_action::yield);
+    EXPECT_EQ(a.decide({"d", 0, 1}, hosts, start + seconds{2}), claim_action::none);
+}
+
+// Guards against a host with little processor time that takes what a greater one should own, and
+// against one host that takes every shard.
+TEST(claim_policy, shards_go_to_hosts_with_processor_time_for_them)
+{
+    auto small = candidate("a", true, 1);
+    small.processor_milli = 90;
+    auto busy = candidate("b", true, 2);
+    busy.processor_milli = 500;
+    busy.owned = 2;
+    auto middle = candidate("c", true, 3);
+    middle.processor_milli = 300;
+    const std::vector<claim_candidate> hosts{small, busy, middle};
+    const wire::shard shard{"d", 3, 4};
+    claim_policy a{"a", start};
+    claim_policy b{"b", start};
+    claim_policy c{"c", start};
+    const auto settled = start + claim_policy::settle;
+    EXPECT_EQ(c.decide(shard, hosts, settled), claim_action::claim);
+    EXPECT_EQ(a.decide(shard, hosts, settled), claim_action::none);
+    EXPECT_EQ(b.decide(shard, hosts, settled), claim_action::none);
+}
+
+// Guards against shards that stay with a small host when a greater one is back, and against two
+// equal hosts that hand a shard to each other again and again.
+TEST(claim_policy, owner_offers_a_shard_only_to_a_much_greater_host)
+{
+    auto owner = candidate("a", true, 1, 20);
+    auto other = candidate("b", true, 2);
+    const claim_policy a{"a", start};
+    EXPECT_FALSE(a.should_offer({owner, other}));
+    other.processor_milli = 500;
+    EXPECT_TRUE(a.should_offer({owner, other}));
+    other.able = false;
+    EXPECT_FALSE(a.should_offer({owner, other}));
+    other.able = true;
+    other.home = false;
+    EXPECT_FALSE(a.should_offer({owner, other}));
+}
+
+std::vector<worker_entry> workers_of(const std::string& domain, std::size_t number)
+{
+    std::vector<worker_entry> all;
+    for (std::size_t i = 0; i < number; ++i) {
+        all.push_back(worker("w-" + std::to_string(i), 64000));
+        all.back().domain = domain;
+    }
+    return all;
+}
+
+// Guards against hosts that divide a domain differently for good, and against a division that
+// changes whenever workers come and go.
+TEST(shard_plan, number_of_shards_only_grows_and_is_agreed_on)
+{
+    shard_plan one;
+    shard_plan other;
+    one.observe(workers_of("d", 39));
+    EXPECT_EQ(one.count("d"), 1U);
+    one.observe(workers_of("d", 100));
+    EXPECT_EQ(one.count("d"), 5U);
+    one.observe(workers_of("d", 120));
+    EXPECT_EQ(one.count("d"), 5U);
+    one.observe(workers_of("d", 10));
+    EXPECT_EQ(one.count("d"), 5U);
+    other.observe(workers_of("d", 10));
+    for (const auto& told : one.all())
+        other.heard(told);
+    EXPECT_EQ(other.shards_of("d"), one.shards_of("d"));
+}
+
+// Guards against a worker that no owner, or more than one, orders starts at.
+TEST(shard_plan, every_worker_is_in_one_shard)
+{
+    shard_plan plan;
+    const auto workers = workers_of("d", 100);
+    plan.observe(workers);
+    for (const auto& entry : workers) {
+        const auto shards = plan.shards_of("d");
+        EXPECT_EQ(std::count_if(shards.begin(), shards.end(),
+                                [&](const wire::shard& one) { return contains(one, entry); }),
+                  1)
+            << entry.id;
+    }
 }
 
 // Guards against keys that stay known after the store has dropped them together with its history.
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -184,11 +184,13 @@
     std::string name;
     std::string domain;
     std::uint64_t life = 0;
+    std::uint32_t processor_milli = 250;
     bool alive = false;
     bool frozen = false;
     bool announced = false; ///< the store has given it a number
     std::uint64_t shown_config = 0;
     std::uint64_t next_request = 1;
+    std::uint64_t sent = 0; ///< messages to other hosts
     std::set<std::string> linked;
     std::vector<std::function<void()>> backlog;
     std::unique_ptr<metrics::registry> metrics;
@@ -207,6 +209,9 @@
     const auto& target = *world.hosts_.at(to);
     if (!from.linked.contains(to))
         return;
+    ++world.hosts_.at(host_)->sent;
+    if (std::holds_alternative<wire::config_record>(message))
+        ++world.config_records_;
     world.schedule(world.now_ + hop,
                    [&world, host = host_, to, message, life = target.life, from_life = from.life] {
                        if (world.cut_hosts_.contains(std::minmax(host, to)) ||
@@ -229,6 +234,8 @@
             auto host = std::make_unique<sim_host>();
             host->name = "host-" + std::to_string(domain) + "-" + std::to_string(i);
             host->domain = name;
+            if (i < options_.processor_milli.size())
+                host->processor_milli = options_.processor_milli[i];
             hosts_.emplace(host->name, std::move(host));
         }
         for (unsigned i = 0; i < options_.workers; ++i) {
@@ -309,8 +316,8 @@
     for (std::size_t i = 0; i < options_.hosts.size(); ++i)
         domains.push_back("domain-" + std::to_string(i));
     host.core = std::make_unique<fleet_host>(
-        host_identity{name, host.domain, "10.0.0.2:" + name, host.life}, domains, *host.workers,
-        *host.peers, *host.callers, *host.metrics, decode_config, now_);
+        host_identity{name, host.domain, "10.0.0.2:" + name, host.life, host.processor_milli},
+        domains, *host.workers, *host.peers, *host.callers, *host.metrics, decode_config, now_);
     for (const auto& [other, one] : hosts_)
         host.core->host_listed({other, one->domain, "10.0.0.2:" + other}, now_);
     tick(name, host.life);
@@ -339,8 +346,9 @@
 
 void fleet_world::feed_store(sim_host& host)
 {
-    host.core->store_answered(store_up_, now_);
-    if (store_up_) {
+    const bool up = store_up_ && !without_store_.contains(host.name);
+    host.core->store_answered(up, now_);
+    if (up) {
         if (!host.core->config() || host.core->config()->version < version_)
             host.core->config_read(config_text(version_), now_);
         for (const auto& [id, worker] : workers_) {
@@ -467,6 +475,25 @@
         host.core->leave(now_);
 }
 
+void fleet_world::store_up(const std::string& host, bool up)
+{
+    if (up)
+        without_store_.erase(host);
+    else
+        without_store_.insert(host);
+}
+
+std::vector<wire::shard_claim> fleet_world::claims(const std::string& host) const
+{
+    const auto& one = *hosts_.at(host);
+    return one.alive ? one.core->report(now_).claims : std::vector<wire::shard_claim>{};
+}
+
+std::uint64_t fleet_world::messages_of(const std::string& host) const
+{
+    return hosts_.at(host)->sent;
+}
+
 fleet_host* fleet_world::host(const std::string& name)
 {
     return hosts_.at(name)->core.get();
--- a/modules/fleet/tests/fleet_world.h
+++ b/modules/fleet/tests/fleet_world.h
@@ -61,6 +61,8 @@
     struct options {
         std::vector<unsigned> hosts{3, 2, 2}; ///< of each domain
         unsigned workers = 4;                 ///< of each domain
+        /// Processor time of each domain's hosts, thousandths of a core; 250 where it names none.
+        std::vector<std::uint32_t> processor_milli{};
         std::uint64_t seed = 1;
     };
 
@@ -99,6 +101,8 @@
     void cut_domain_workers(const std::string& host, const std::string& domain, bool cut);
     void crash_worker(const std::string& worker);
     void store_up(bool up) { store_up_ = up; }
+    /// The store answers this host, or does not, while it answers the others.
+    void store_up(const std::string& host, bool up);
     void publish(std::uint64_t version);
     void stop(const std::string& host);
 
@@ -108,6 +112,12 @@
     std::vector<std::string> worker_names() const;
     const std::map<std::string, caller_job>& jobs() const { return jobs_; }
     metrics::registry& metrics(const std::string& host);
+    /// Claims that the host reports; none if it is not alive.
+    std::vector<wire::shard_claim> claims(const std::string& host) const;
+    /// Messages that the host has sent to others.
+    std::uint64_t messages_of(const std::string& host) const;
+    /// Configurations that hosts have sent to each other.
+    std::uint64_t config_records() const noexcept { return config_records_; }
 
     /// What must never happen, in words.
     const std::vector<std::string>& violations() const { return violations_; }
@@ -174,6 +184,8 @@
     std::uint64_t next_number_ = 0; ///< offset of the next host's record
     std::uint64_t version_ = 1;
     std::uint64_t starts_ = 0;
+    std::uint64_t config_records_ = 0;
+    std::set<std::string> without_store_;
     bool store_up_ = true;
 };
 
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -131,9 +131,16 @@
 {
     fleet_world::options options;
     options.seed = seed;
+    // Some worlds have several owners in a domain, of unequal hosts.
+    const bool divided = seed % 4 == 1;
+    if (divided) {
+        options.hosts = {4, 3};
+        options.workers = 42;
+        options.processor_milli = {500, 90, 300, 90};
+    }
     fleet_world world{options};
     world.run_for(seconds{3});
-    load(world, seconds{20}, 40);
+    load(world, seconds{20}, divided ? 60 : 40);
     for (int i = 0; i < 6; ++i)
         world.at(uniform_duration(world.random(), seconds{16}), [&world] { fault(world); });
     if (seed % 5 == 0)
@@ -315,6 +322,92 @@
     EXPECT_EQ(claims, 4U);
 }
 
+std::vector<std::string> owners_in(fleet_world& world, const std::string& domain)
+{
+    std::vector<std::string> owners;
+    for (const auto& name : world.host_names()) {
+        for (const auto& claim : world.claims(name)) {
+            if (claim.shard.domain == domain)
+                owners.push_back(name);
+        }
+    }
+    return owners;
+}
+
+fleet_world::options divided_world()
+{
+    fleet_world::options options;
+    options.hosts = {4, 3};
+    options.workers = 42;
+    options.processor_milli = {90, 500, 90, 300};
+    return options;
+}
+
+// Guards against one host that orders all starts of a great domain, and against small hosts among
+// the owners.
+TEST(fleet_histories, great_domain_is_divided_among_its_greatest_hosts)
+{
+    fleet_world world{divided_world()};
+    world.run_for(seconds{12});
+    EXPECT_EQ(owners_in(world, "domain-0"), (std::vector<std::string>{"host-0-1", "host-0-3"}));
+    load(world, seconds{5}, 60);
+    world.run_for(seconds{9});
+    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+    for (const auto& [id, job] : world.jobs())
+        EXPECT_EQ(job.answers, std::vector<std::string>{"completed"}) << id;
+}
+
+// Guards against shards that stay with small hosts when a greater one is back, and against jobs
+// that are cut when a shard changes hands as planned.
+TEST(fleet_histories, shard_returns_to_a_greater_host_without_a_cut)
+{
+    fleet_world world{divided_world()};
+    world.run_for(seconds{12});
+    world.kill("host-0-1");
+    world.run_for(seconds{2});
+    ASSERT_EQ(owners_in(world, "domain-0").size(), 2U);
+    world.boot("host-0-1");
+    world.run_for(seconds{1});
+    load(world, seconds{8}, 60);
+    world.run_for(seconds{11});
+    EXPECT_EQ(owners_in(world, "domain-0"), (std::vector<std::string>{"host-0-1", "host-0-3"}));
+    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+    for (const auto& [id, job] : world.jobs())
+        EXPECT_EQ(job.answers, std::vector<std::string>{"completed"}) << id;
+}
+
+// Guards against messages between hosts that grow with the square of the hosts: what a host without
+// a shard and without jobs sends to each other one is bounded.
+TEST(fleet_histories, idle_hosts_report_rarely)
+{
+    fleet_world world{{}};
+    world.run_for(seconds{3});
+    std::map<std::string, std::uint64_t> before;
+    for (const auto& name : world.host_names())
+        before[name] = world.messages_of(name);
+    world.run_for(seconds{10});
+    for (const auto& name : world.host_names()) {
+        if (!world.claims(name).empty())
+            continue;
+        EXPECT_LE(world.messages_of(name) - before[name], 6U * 11) << name;
+    }
+}
+
+// Guards against a new configuration that every host sends to every other one, and against one that
+// a host which cannot read the store never gets.
+TEST(fleet_histories, host_without_the_store_fetches_the_configuration_once)
+{
+    fleet_world world{{}};
+    world.run_for(seconds{3});
+    world.store_up("host-2-1", false);
+    const auto before = world.config_records();
+    world.publish(2);
+    world.run_for(seconds{2});
+    ASSERT_TRUE(world.host("host-2-1")->config());
+    EXPECT_EQ(world.host("host-2-1")->config()->version, 2U);
+    EXPECT_LE(world.config_records() - before, 8U);
+}
+
 // Guards against tokens that do not rise when every process has died: workers would refuse all.
 TEST(fleet_histories, serves_after_every_process_has_died)
 {
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -20,8 +20,10 @@
     endpoint peers;                   ///< where other hosts connect
     endpoint store;                   ///< of the platform
     std::vector<std::string> seeds;   ///< peer addresses of some hosts; may be empty or stale
-    std::int64_t metrics_port = 0;    ///< 0 serves no metrics
-    std::int64_t drain_ms = 5600;     ///< longest time for open requests at a planned stop
+    double core_share = 1;            ///< part of each core that this host may use
+    double cores = 1;
+    std::int64_t metrics_port = 0; ///< 0 serves no metrics
+    std::int64_t drain_ms = 5600;  ///< longest time for open requests at a planned stop
 
     bool operator==(const fleet_settings&) const = default;
 };
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -197,7 +197,7 @@
     return fbs::Createjob_order(b, text(b, m.job), m.attempt, text(b, m.queue), text(b, m.service),
                                 m.priority, m.max_attempts, m.stretch, m.target_ms, m.age_ms,
                                 m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps),
-                                text(b, m.domain));
+                                text(b, m.shard.domain), m.shard.index, m.shard.count);
 }
 
 auto write(FlatBufferBuilder& b, const job_result& m)
@@ -213,13 +213,19 @@
 
 auto write(FlatBufferBuilder& b, const host_report& m)
 {
-    std::vector<Offset<fbs::domain_claim>> claims;
+    std::vector<Offset<fbs::shard_claim>> claims;
     claims.reserve(m.claims.size());
     for (const auto& one : m.claims)
-        claims.push_back(fbs::Createdomain_claim(b, text(b, one.domain), one.epoch, one.swept,
-                                                 one.free_milli, one.backlog_ms));
+        claims.push_back(fbs::Createshard_claim(b, text(b, one.shard.domain), one.epoch, one.swept,
+                                                one.free_milli, one.backlog_ms, one.shard.index,
+                                                one.shard.count, one.leaving));
+    std::vector<Offset<fbs::domain_shards>> domains;
+    domains.reserve(m.domains.size());
+    for (const auto& one : m.domains)
+        domains.push_back(fbs::Createdomain_shards(b, text(b, one.domain), one.count));
     return fbs::Createhost_report(b, m.fence_base, m.known_config, m.leaving, m.able,
-                                  b.CreateVector(claims));
+                                  b.CreateVector(claims), m.processor_milli,
+                                  b.CreateVector(domains));
 }
 
 auto write(FlatBufferBuilder& b, const host_records& m)
@@ -502,6 +508,15 @@
            take_optional(m.data_rack, t.data_rack());
 }
 
+/// Reads the fields that name a shard, from any table that has them.
+template <class Table>
+bool read(shard& m, const Table& t)
+{
+    m.index = t.shard();
+    m.count = t.shards();
+    return m.index < m.count && m.count <= max_shards && take(m.domain, t.domain());
+}
+
 bool read(job_order& m, const fbs::job_order& t)
 {
     m.attempt = t.attempt();
@@ -518,7 +533,7 @@
             return false;
     }
     return take(m.job, t.job()) && take(m.queue, t.queue()) && take(m.service, t.service()) &&
-           take(m.payload, t.payload()) && take(m.domain, t.domain());
+           take(m.payload, t.payload()) && read(m.shard, t);
 }
 
 bool read(job_result& m, const fbs::job_result& t)
@@ -543,17 +558,24 @@
     m.known_config = t.known_config();
     m.leaving = t.leaving();
     m.able = t.able();
-    if (t.claims() == nullptr)
-        return true;
-    if (t.claims()->size() > max_claims)
+    m.processor_milli = t.processor_milli();
+    if (t.claims() == nullptr || t.domains() == nullptr || t.claims()->size() > max_claims ||
+        t.domains()->size() > max_claims)
         return false;
+    for (const auto* one : *t.domains()) {
+        auto& domain = m.domains.emplace_back();
+        domain.count = one->shards();
+        if (domain.count == 0 || domain.count > max_shards || !take(domain.domain, one->domain()))
+            return false;
+    }
     for (const auto* one : *t.claims()) {
         auto& claim = m.claims.emplace_back();
         claim.epoch = one->epoch();
         claim.swept = one->swept();
         claim.free_milli = one->free_milli();
         claim.backlog_ms = one->backlog_ms();
-        if (!take(claim.domain, one->domain()))
+        claim.leaving = one->leaving();
+        if (!read(claim.shard, *one))
             return false;
     }
     return true;
--- a/modules/wire/frame_codec.h
+++ b/modules/wire/frame_codec.h
@@ -28,6 +28,8 @@
 inline constexpr std::size_t max_service_loads = 256;
 inline constexpr std::size_t max_job_steps = 256;
 inline constexpr std::size_t max_claims = 64;
+/// Most shards that a failure domain can have.
+inline constexpr std::uint32_t max_shards = 4096;
 
 /// Frame of the message, with its length. The caller keeps to the limits above: a frame beyond
 /// them is refused by the peer's decoder.
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -253,7 +253,16 @@
     bool operator==(const job_step&) const = default;
 };
 
-/// A job, sent by the host that its caller reached to the owner of a failure domain.
+/// A part of a failure domain's workers, for which one host orders all starts. A domain with few
+/// workers is one shard.
+struct shard {
+    std::string domain;
+    std::uint32_t index = 0; ///< from 0
+    std::uint32_t count = 1; ///< shards that the domain is divided into
+    auto operator<=>(const shard&) const = default;
+};
+
+/// A job, sent by the host that its caller reached to the owner of a shard.
 struct job_order {
     std::string job;
     std::uint32_t attempt = 1; ///< rises each time the job is sent anew
@@ -267,7 +276,7 @@
     std::uint32_t remaining_ms = 0; ///< time until the caller stops waiting
     std::string payload;
     std::vector<job_step> steps;
-    std::string domain; ///< failure domain whose workers run the tasks
+    wire::shard shard; ///< whose workers run the tasks
     bool operator==(const job_order&) const = default;
 };
 
@@ -305,14 +314,22 @@
     bool operator==(const job_cancel&) const = default;
 };
 
-/// The sender orders the starts at a failure domain's workers.
-struct domain_claim {
-    std::string domain;
+/// The sender orders the starts at a shard's workers.
+struct shard_claim {
+    wire::shard shard;
     std::uint64_t epoch = 0;
     bool swept = false;           ///< nothing that a predecessor started runs any more
     std::uint64_t free_milli = 0; ///< free room of the usable workers, thousandths of a core
     std::uint32_t backlog_ms = 0; ///< time that the waiting work will take
-    bool operator==(const domain_claim&) const = default;
+    bool leaving = false;         ///< a host that goes before the sender is to claim the shard
+    bool operator==(const shard_claim&) const = default;
+};
+
+/// Number of shards of a failure domain, as the sender knows it. It never falls.
+struct domain_shards {
+    std::string domain;
+    std::uint32_t count = 1;
+    bool operator==(const domain_shards&) const = default;
 };
 
 /// What a host tells every other host at short intervals.
@@ -320,8 +337,10 @@
     std::uint64_t fence_base = 0;   ///< 0 until the platform's log has given the host a number
     std::uint64_t known_config = 0; ///< version of the newest configuration that the host has
     bool leaving = false;           ///< the host stops as planned: it claims nothing new
-    bool able = false;              ///< the host may claim a domain
-    std::vector<domain_claim> claims;
+    bool able = false;              ///< the host may claim a shard
+    std::vector<shard_claim> claims;
+    std::uint32_t processor_milli = 0; ///< processor time that the host has, thousandths of a core
+    std::vector<domain_shards> domains;
     bool operator==(const host_report&) const = default;
 };
 
