testing: Move the simulated worker out of the fleet tests

The fault soak on the platform's protocol needs the same worker behind HTTP. The behaviour is moved as it is; settling, looks and schedules stay with the virtual world.

--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -13,7 +13,6 @@
 constexpr duration tick_interval = milliseconds{20};
 constexpr duration resend_after = milliseconds{1300};
 constexpr duration store_interval = milliseconds{500};
-constexpr std::int64_t longest_lease_ms = 1000;
 
 std::string config_text(std::uint64_t version)
 {
@@ -39,20 +38,6 @@
 
 } // namespace
 
-std::int64_t sim_worker::clock(time_point now) const
-{
-    return static_cast<std::int64_t>(to_seconds(now - born) * 1000 * clock_rate);
-}
-
-void sim_worker::end(const std::string& task, task_end how)
-{
-    const auto found = running.find(task);
-    ended.push_back({++ends, task, found->second.run, how, {}});
-    auto& highest = stopped[task];
-    highest = std::max(highest, found->second.run);
-    running.erase(found);
-}
-
 class sim_worker_port final : public worker_port {
 public:
     sim_worker_port(fleet_world& world, std::string host, std::uint64_t life)
@@ -452,15 +437,7 @@
 
 void fleet_world::crash_worker(const std::string& id)
 {
-    auto& worker = workers_.at(id);
-    worker.running.clear();
-    worker.stopped.clear();
-    worker.ended.clear();
-    worker.ends = 0;
-    worker.token = 0;
-    worker.lease_ms = 0;
-    worker.born = now_;
-    worker.life += 1;
+    workers_.at(id).crash(now_);
 }
 
 void fleet_world::publish(std::uint64_t version)
@@ -534,17 +511,7 @@
 
 void fleet_world::settle_worker(sim_worker& worker)
 {
-    std::vector<std::pair<std::string, task_end>> over;
-    const auto clock = worker.clock(now_);
-    for (const auto& [task, run] : worker.running) {
-        if (clock >= worker.lease_ms)
-            over.emplace_back(task, task_end::lapsed);
-        else if (now_ >= run.ends)
-            over.emplace_back(task, run.fails ? task_end::failed : task_end::done);
-    }
-    for (const auto& [task, how] : over)
-        worker.end(task, how);
-    if (!over.empty())
+    if (worker.settle(now_))
         answer_looks(worker.entry.id);
 }
 
@@ -570,10 +537,7 @@
 
 void fleet_world::check_room(const sim_worker& worker)
 {
-    room used;
-    for (const auto& [task, run] : worker.running)
-        used += run.demand;
-    if (worker.entry.capacity.holds(used))
+    if (!worker.over_room())
         return;
     std::string held;
     for (const auto& [task, run] : worker.running)
@@ -598,100 +562,50 @@
 void fleet_world::start_on(sim_worker& worker, const start_order& order, order_reply& reply)
 {
     settle_worker(worker);
-    const auto clock = worker.clock(now_);
-    reply.clock_ms = clock;
-    if (order.token < worker.token) {
-        reply.outcome = order_outcome::fenced;
-        return;
-    }
-    worker.token = order.token;
-    reply.outcome = order_outcome::accepted;
-    const auto there = worker.running.find(order.task);
-    if (there != worker.running.end() && there->second.run == order.run)
-        return;
-    const auto highest = worker.stopped.find(order.task);
-    if (there != worker.running.end() ||
-        (highest != worker.stopped.end() && highest->second >= order.run)) {
-        reply.outcome = order_outcome::stale_run;
-        return;
-    }
-    if (order.expires_at_ms <= clock) {
-        reply.outcome = order_outcome::expired;
-        return;
-    }
-    worker.lease_ms =
-        std::max(worker.lease_ms, std::min(order.expires_at_ms, clock + longest_lease_ms));
     const auto job = order.task.substr(0, order.task.find('.'));
-    const auto place = job_run::place_of(order.task);
-    const auto& step = work_.at(job).first[place.step];
-    sim_worker::run_state run;
-    run.run = order.run;
-    run.demand = demand_of(step);
-    run.began = now_;
-    run.fails = worker.fault.fails_tasks;
+    const auto& step = work_.at(job).first[job_run::place_of(order.task).step];
     // True run times are up to 40% off the estimate.
     const double factor = (0.7 + 0.7 * uniform(random_)) / worker.speed;
-    run.ends = worker.fault.hangs_tasks
-                   ? now_ + seconds{1000}
-                   : now_ + from_seconds(run.fails ? 0.005 : factor * step.estimate_ms / 1000.0);
+    sim_worker::task_plan plan;
+    plan.demand = demand_of(step);
+    plan.fails = worker.fault.fails_tasks;
+    plan.run_time = worker.fault.hangs_tasks
+                        ? seconds{1000}
+                        : from_seconds(plan.fails ? 0.005 : factor * step.estimate_ms / 1000.0);
+    bool began = false;
+    reply = worker.start(order, plan, now_, began);
+    if (!began)
+        return;
     check_twice(order.task, worker.entry.id);
-    worker.running[order.task] = run;
     jobs_.at(job).started = true;
     ++starts_;
     check_room(worker);
-    schedule(run.ends, [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
+    schedule(now_ + plan.run_time,
+             [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
 }
 
 void fleet_world::stop_on(sim_worker& worker, const stop_order& order, order_reply& reply)
 {
     settle_worker(worker);
-    reply.clock_ms = worker.clock(now_);
-    if (order.token < worker.token) {
-        reply.outcome = order_outcome::fenced;
+    reply = worker.stop(order, now_);
+    if (reply.outcome != order_outcome::accepted)
         return;
-    }
-    worker.token = order.token;
-    reply.outcome = order_outcome::accepted;
-    auto& highest = worker.stopped[order.task];
-    highest = std::max(highest, order.run);
     schedule(now_ + uniform_duration(random_, milliseconds{50}),
              [this, id = worker.entry.id, task = order.task, run = order.run, life = worker.life] {
                  auto& there = workers_.at(id);
-                 const auto found = there.running.find(task);
-                 if (there.life != life || found == there.running.end() || found->second.run != run)
-                     return;
-                 there.end(task, task_end::stopped);
-                 answer_looks(id);
+                 if (there.life == life && there.end_stopped(task, run))
+                     answer_looks(id);
              });
 }
 
 look_reply fleet_world::look_at(sim_worker& worker, const look_order& order)
 {
     settle_worker(worker);
-    look_reply reply;
-    reply.clock_ms = worker.clock(now_);
-    reply.life = worker.life;
-    if (order.token < worker.token) {
-        reply.outcome = order_outcome::fenced;
-        return reply;
-    }
-    worker.token = order.token;
-    reply.outcome = order_outcome::accepted;
-    if (order.expires_at_ms)
-        worker.lease_ms = std::max(
-            worker.lease_ms, std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
-    std::erase_if(worker.ended, [&](const auto& one) { return one.number <= order.seen_end; });
-    reply.ended = worker.ended;
-    for (const auto& [task, run] : worker.running) {
-        const auto total = to_seconds(run.ends - run.began);
-        reply.running.push_back(
-            {task, run.run, {}, static_cast<int>(100 * to_seconds(now_ - run.began) / total)});
-    }
+    auto reply = worker.look(order, now_);
     // What a lease bounds must end on time, also when nobody looks.
-    const auto left =
-        static_cast<double>(worker.lease_ms - reply.clock_ms) / 1000 / worker.clock_rate;
-    schedule(now_ + from_seconds(left) + milliseconds{1},
-             [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
+    if (reply.outcome == order_outcome::accepted)
+        schedule(worker.lease_end(now_),
+                 [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
     return reply;
 }
 
--- a/modules/fleet/tests/fleet_world.h
+++ b/modules/fleet/tests/fleet_world.h
@@ -11,48 +11,12 @@
 #include <random>
 #include <set>
 #include <string>
+#include <testing/support/sim_worker.h>
 #include <vector>
 
 namespace chivewharf::fleet {
 
-/// Behaviour of a simulated worker.
-struct worker_fault {
-    bool cut = false; ///< receives and answers nothing, and runs on
-    bool fails_tasks = false;
-    bool hangs_tasks = false;
-    double late_orders =
-        0; ///< share of orders that get no answer and are carried out seconds later
-    double lost_answers = 0; ///< share of orders that are carried out without an answer
-};
-
-/// A worker that follows the platform's contract: it does not guard its room, keeps the highest
-/// token, ends what has no lease, and lists ends until they are taken note of.
-class sim_worker {
-public:
-    struct run_state {
-        std::uint32_t run = 0;
-        room demand;
-        time_point began{};
-        time_point ends{};
-        bool fails = false;
-    };
-
-    worker_entry entry;
-    worker_fault fault;
-    double clock_rate = 1.0; ///< of the steady clock, 0.98 to 1
-    double speed = 1.0;
-    time_point born{};
-    std::int64_t life = 1;
-    std::uint64_t token = 0;
-    std::int64_t lease_ms = 0; ///< on the worker's clock
-    std::map<std::string, run_state> running;
-    std::map<std::string, std::uint32_t> stopped; ///< highest run that ended or was stopped
-    std::vector<ended_task> ended;
-    std::uint64_t ends = 0;
-
-    std::int64_t clock(time_point now) const;
-    void end(const std::string& task, task_end how);
-};
+using testing_support::sim_worker;
 
 /// Entry hosts, workers, a store and callers in virtual time, with faults. It checks what must
 /// always hold from what the workers and the callers see.
--- /dev/null
+++ b/testing/support/sim_worker.cpp
@@ -0,0 +1,146 @@
+#include "sim_worker.h"
+
+#include <algorithm>
+
+namespace chivewharf::testing_support {
+
+using fleet::look_reply;
+using fleet::order_outcome;
+using fleet::order_reply;
+using fleet::task_end;
+
+std::int64_t sim_worker::clock(time_point now) const
+{
+    return static_cast<std::int64_t>(to_seconds(now - born) * 1000 * clock_rate);
+}
+
+time_point sim_worker::lease_end(time_point now) const
+{
+    const auto left = static_cast<double>(lease_ms - clock(now)) / 1000 / clock_rate;
+    return now + from_seconds(left) + milliseconds{1};
+}
+
+void sim_worker::end(const std::string& task, task_end how)
+{
+    const auto found = running.find(task);
+    ended.push_back({++ends, task, found->second.run, how, {}});
+    auto& highest = stopped[task];
+    highest = std::max(highest, found->second.run);
+    running.erase(found);
+}
+
+bool sim_worker::settle(time_point now)
+{
+    std::vector<std::pair<std::string, task_end>> over;
+    const auto time = clock(now);
+    for (const auto& [task, run] : running) {
+        if (time >= lease_ms)
+            over.emplace_back(task, task_end::lapsed);
+        else if (now >= run.ends)
+            over.emplace_back(task, run.fails ? task_end::failed : task_end::done);
+    }
+    for (const auto& [task, how] : over)
+        end(task, how);
+    return !over.empty();
+}
+
+order_reply sim_worker::start(const fleet::start_order& order, const task_plan& plan,
+                              time_point now, bool& began)
+{
+    began = false;
+    order_reply reply;
+    const auto time = clock(now);
+    reply.clock_ms = time;
+    if (order.token < token) {
+        reply.outcome = order_outcome::fenced;
+        return reply;
+    }
+    token = order.token;
+    reply.outcome = order_outcome::accepted;
+    const auto there = running.find(order.task);
+    if (there != running.end() && there->second.run == order.run)
+        return reply;
+    const auto highest = stopped.find(order.task);
+    if (there != running.end() || (highest != stopped.end() && highest->second >= order.run)) {
+        reply.outcome = order_outcome::stale_run;
+        return reply;
+    }
+    if (order.expires_at_ms <= time) {
+        reply.outcome = order_outcome::expired;
+        return reply;
+    }
+    lease_ms = std::max(lease_ms, std::min(order.expires_at_ms, time + longest_lease_ms));
+    running[order.task] = {order.run, plan.demand, now, now + plan.run_time, plan.fails};
+    began = true;
+    return reply;
+}
+
+order_reply sim_worker::stop(const fleet::stop_order& order, time_point now)
+{
+    order_reply reply;
+    reply.clock_ms = clock(now);
+    if (order.token < token) {
+        reply.outcome = order_outcome::fenced;
+        return reply;
+    }
+    token = order.token;
+    reply.outcome = order_outcome::accepted;
+    auto& highest = stopped[order.task];
+    highest = std::max(highest, order.run);
+    return reply;
+}
+
+bool sim_worker::end_stopped(const std::string& task, std::uint32_t run)
+{
+    const auto found = running.find(task);
+    if (found == running.end() || found->second.run != run)
+        return false;
+    end(task, task_end::stopped);
+    return true;
+}
+
+look_reply sim_worker::look(const fleet::look_order& order, time_point now)
+{
+    look_reply reply;
+    reply.clock_ms = clock(now);
+    reply.life = life;
+    if (order.token < token) {
+        reply.outcome = order_outcome::fenced;
+        return reply;
+    }
+    token = order.token;
+    reply.outcome = order_outcome::accepted;
+    if (order.expires_at_ms)
+        lease_ms =
+            std::max(lease_ms, std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
+    std::erase_if(ended, [&](const auto& one) { return one.number <= order.seen_end; });
+    reply.ended = ended;
+    for (const auto& [task, run] : running) {
+        const auto total = to_seconds(run.ends - run.began);
+        reply.running.push_back(
+            {task, run.run, {}, static_cast<int>(100 * to_seconds(now - run.began) / total)});
+    }
+    return reply;
+}
+
+void sim_worker::crash(time_point now)
+{
+    running.clear();
+    stopped.clear();
+    ended.clear();
+    ends = 0;
+    token = 0;
+    lease_ms = 0;
+    born = now;
+    life += 1;
+}
+
+bool sim_worker::over_room() const
+{
+    fleet::room used;
+    for (const auto& [task, run] : running)
+        used += run.demand;
+    return !entry.capacity.holds(used);
+}
+
+} // namespace chivewharf::testing_support
