runtime: Read callers' connections with one source instead of three

The stream on top of a plain socket now makes one source on its descriptor. Connections with TLS keep the chain.

--- a/modules/runtime/request_stream.cpp
+++ b/modules/runtime/request_stream.cpp
@@ -12,6 +12,7 @@
     struct fields {
         gobject_ptr<GIOStream> connection;
         GInputStream* base; ///< of the connection
+        int descriptor;     ///< of a connection without TLS; -1 otherwise
         std::shared_ptr<receive_state> state;
     } * content;
 };
@@ -66,13 +67,65 @@
     return g_pollable_input_stream_is_readable(G_POLLABLE_INPUT_STREAM(content_of(stream).base));
 }
 
+/// Source that is ready when the socket can be read. GLib's own chain of sources for a pollable
+/// stream has three of them, and the loop visits each in every pass.
+struct socket_source {
+    GSource base;
+    GPollableInputStream* stream;
+    gpointer tag; ///< of the descriptor
+};
+
+gboolean check_socket(GSource* source)
+{
+    const auto& one = *reinterpret_cast<socket_source*>(source);
+    return g_source_query_unix_fd(source, one.tag) != 0 ? TRUE : FALSE;
+}
+
+gboolean dispatch_socket(GSource* source, GSourceFunc call, gpointer data)
+{
+    const auto& one = *reinterpret_cast<socket_source*>(source);
+    return reinterpret_cast<GPollableSourceFunc>(reinterpret_cast<void (*)()>(call))(
+        G_OBJECT(one.stream), data);
+}
+
+/// Calls a closure that was set on the source, as its parent source does.
+gboolean call_closure(GObject* stream, gpointer closure)
+{
+    GValue answer = G_VALUE_INIT;
+    GValue parameter = G_VALUE_INIT;
+    g_value_init(&answer, G_TYPE_BOOLEAN);
+    g_value_init(&parameter, G_TYPE_OBJECT);
+    g_value_set_object(&parameter, stream);
+    g_closure_invoke(static_cast<GClosure*>(closure), &answer, 1, &parameter, nullptr);
+    const auto keep = g_value_get_boolean(&answer);
+    g_value_unset(&answer);
+    g_value_unset(&parameter);
+    return keep;
+}
+
+void finalize_socket(GSource* source)
+{
+    g_object_unref(reinterpret_cast<socket_source*>(source)->stream);
+}
+
 GSource* create_source(GPollableInputStream* stream, GCancellable* cancellable)
 {
-    const auto base = std::unique_ptr<GSource, decltype(&g_source_unref)>{
-        g_pollable_input_stream_create_source(G_POLLABLE_INPUT_STREAM(content_of(stream).base),
-                                              nullptr),
-        &g_source_unref};
-    return g_pollable_source_new_full(stream, base.get(), cancellable);
+    static GSourceFuncs functions{
+        nullptr, &check_socket, &dispatch_socket, &finalize_socket, G_SOURCE_FUNC(&call_closure),
+        nullptr};
+    const auto& content = content_of(stream);
+    if (content.descriptor < 0 || cancellable != nullptr) {
+        const auto base = std::unique_ptr<GSource, decltype(&g_source_unref)>{
+            g_pollable_input_stream_create_source(G_POLLABLE_INPUT_STREAM(content.base), nullptr),
+            &g_source_unref};
+        return g_pollable_source_new_full(stream, base.get(), cancellable);
+    }
+    auto* source = g_source_new(&functions, sizeof(socket_source));
+    auto& added = *reinterpret_cast<socket_source*>(source);
+    added.stream = G_POLLABLE_INPUT_STREAM(g_object_ref(stream));
+    added.tag = g_source_add_unix_fd(source, content.descriptor,
+                                     static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR));
+    return source;
 }
 
 gboolean close(GInputStream* stream, GCancellable* cancellable, GError** error)
@@ -123,8 +176,12 @@
                                               std::shared_ptr<receive_state> state)
 {
     auto* stream = g_object_new(request_stream_type(), nullptr);
+    const int descriptor =
+        G_IS_SOCKET_CONNECTION(connection)
+            ? g_socket_get_fd(g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)))
+            : -1;
     reinterpret_cast<request_stream*>(stream)->content = new request_stream::fields{
-        retain(connection), g_io_stream_get_input_stream(connection), std::move(state)};
+        retain(connection), g_io_stream_get_input_stream(connection), descriptor, std::move(state)};
     return gobject_ptr<GInputStream>{G_INPUT_STREAM(stream)};
 }
 
