fleet_soak: Count the service after the faults by the jobs submitted then

The check counted every job whose attempts ended in the calm seconds, also those submitted during the faults whose last attempt was refused then: a job may come four times in 16 s. It now takes the jobs submitted after the recovery time and asks for the same share of them.

--- a/testing/fleet_soak/callers.cpp
+++ b/testing/fleet_soak/callers.cpp
@@ -54,7 +54,7 @@
     const auto& kind = kinds[random_() % 8 < 2 ? 0 : random_() % 6 == 0 ? 1 : 2];
     auto& job = seen_.jobs[id];
     job.payload = encode_work({kind.cpu_milli, kind.run_ms});
-    ++number_;
+    job.submitted = boot_clock::now();
     attempt(id);
 }
 
@@ -112,8 +112,7 @@
         after(resend_after, [this, id] { attempt(id); });
         return;
     }
-    ++finished_;
-    completed_ += answered && result.status == ok ? 1 : 0;
+    job.completed = answered && result.status == ok;
 }
 
 } // namespace chivewharf::fleet_soak
--- a/testing/fleet_soak/callers.h
+++ b/testing/fleet_soak/callers.h
@@ -17,10 +17,6 @@
     /// Submits nothing new; attempts under way go on.
     void stop() { next_.cancel(); }
 
-    /// Jobs of which all attempts have ended.
-    std::uint64_t finished() const noexcept { return finished_; }
-    std::uint64_t completed() const noexcept { return completed_; }
-
 private:
     void submit();
     void attempt(const std::string& id);
@@ -32,9 +28,6 @@
     rng random_;
     runtime::http_client http_;
     runtime::timer next_;
-    std::uint64_t number_ = 0;
-    std::uint64_t finished_ = 0;
-    std::uint64_t completed_ = 0;
 };
 
 } // namespace chivewharf::fleet_soak
--- a/testing/fleet_soak/evidence.h
+++ b/testing/fleet_soak/evidence.h
@@ -12,6 +12,8 @@
 /// A job as its caller sees it.
 struct caller_job {
     std::string payload;
+    time_point submitted{};
+    bool completed = false;
     unsigned attempts = 0;
     unsigned refusals = 0;
     bool started = false;              ///< a task was started on a worker
--- a/testing/fleet_soak/main.cpp
+++ b/testing/fleet_soak/main.cpp
@@ -74,20 +74,36 @@
 
     void measure_calm()
     {
-        const auto finished = callers_.finished();
-        const auto completed = callers_.completed();
-        after(calm_time, [this, finished, completed] {
-            const auto all = static_cast<double>(callers_.finished() - finished);
-            const auto good = static_cast<double>(callers_.completed() - completed);
-            if (good < served_when_calm * all || all == 0)
-                seen_.violation("only " + std::to_string(good) + " of " + std::to_string(all) +
-                                " jobs were completed after all faults had ended");
+        const auto since = boot_clock::now();
+        after(calm_time, [this, since] {
             callers_.stop();
             check_versions();
-            after(last_answers, [this] { report(); });
+            after(last_answers, [this, since] {
+                check_service(since);
+                report();
+            });
         });
     }
 
+    /// Of the jobs that were submitted when all was calm, and whose callers stayed, nearly all are
+    /// completed.
+    void check_service(time_point since)
+    {
+        std::size_t submitted = 0;
+        std::size_t completed = 0;
+        for (const auto& [id, job] : seen_.jobs) {
+            if (job.submitted < since || job.left)
+                continue;
+            ++submitted;
+            completed += job.completed ? 1 : 0;
+        }
+        if (submitted == 0 ||
+            static_cast<double>(completed) < served_when_calm * static_cast<double>(submitted))
+            seen_.violation("only " + std::to_string(completed) + " of " +
+                            std::to_string(submitted) +
+                            " jobs were completed after all faults had ended");
+    }
+
     /// Reads the version that each host has in force; it never falls in a process.
     void sample_versions()
     {
