Follow the workers closely on every host again

Hosts without a shard had read the list of workers every 8 s since the shards came; one that took a shard over while the store did not answer started tasks by that list. Every host polls the changes twice a second again. store_reader.host_without_a_shard_follows_the_workers_closely fails without this: 1 read in 6 s instead of 4 in 1.5 s.

Ruled out: only the next owners poll (hosts of a whole domain die together, and others adopt it).

--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -15,16 +15,13 @@
 
 /// In the order of `store_topic`. The configuration must be in force within 2 s of its publication,
 /// also when a connection goes silent. A waiting read of the workers would be woken by every change
-/// of each worker, so they are polled.
+/// of each worker, so they are polled, by every host: one that takes over a shard while the store
+/// is away must know which workers leave.
 constexpr std::array<read_plan, enum_count<fleet::store_topic>> plans{{
     {milliseconds{600}, milliseconds{0}},
     {milliseconds{0}, milliseconds{500}},
     {milliseconds{0}, milliseconds{2000}},
 }};
-/// A host that orders no starts reads the newest state of all workers this often instead.
-constexpr duration idle_workers_pause = seconds{8};
-/// After a longer pause, the newest state is shorter than the changes.
-constexpr duration longest_catch_up = seconds{2};
 constexpr duration first_backoff = milliseconds{100};
 constexpr duration longest_backoff = milliseconds{1000};
 
@@ -117,25 +114,8 @@
     if (topic.topic == fleet::store_topic::workers && topic.follower.complete())
         core_.workers_complete();
     const bool behind = topic.follower.next().newest || topic.follower.next().offset < reply.end;
-    topic.read_at = now;
-    if (behind)
-        topic.next.once(duration{0}, [this, &topic] { read(topic); });
-    else
-        wait(topic);
-}
-
-void store_reader::wait(followed& topic)
-{
-    topic.next.once(plan_of(topic.topic).pause, [this, &topic] {
-        const auto age = boot_clock::now() - topic.read_at;
-        if (topic.topic == fleet::store_topic::workers) {
-            if (!core_.needs_workers() && age < idle_workers_pause)
-                return wait(topic);
-            if (age > longest_catch_up)
-                topic.follower.restart();
-        }
-        read(topic);
-    });
+    const auto pause = behind ? duration{0} : plan_of(topic.topic).pause;
+    topic.next.once(pause, [this, &topic] { read(topic); });
 }
 
 void store_reader::bad_record(fleet::store_topic topic, const std::string& key,
--- a/modules/daemon/store_reader.h
+++ b/modules/daemon/store_reader.h
@@ -41,11 +41,9 @@
         fleet::topic_follower follower;
         runtime::timer next;
         std::uint32_t failures = 0;
-        time_point read_at{}; ///< when the last answer arrived
     };
 
     void read(followed& topic);
-    void wait(followed& topic);
     void answered(followed& topic, const fleet::store_reply& reply);
     void announce();
     void changed(fleet::store_topic topic, const fleet::keyed_record& record);
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -485,10 +485,6 @@
 void fleet_host::check_claim(const wire::shard& shard, time_point now)
 {
     const auto hosts = candidates(shard, now);
-    if (shard.domain == self_.domain &&
-        std::none_of(hosts.begin(), hosts.end(),
-                     [](const claim_candidate& one) { return one.epoch > 0 && !one.leaving; }))
-        unowned_ = true;
     switch (policy_.decide(shard, hosts, now)) {
     case claim_action::none:
         break;
@@ -523,7 +519,6 @@
 void fleet_host::check_claims(time_point now)
 {
     follow_plan(now);
-    unowned_ = false;
     for (const auto& domain : domains_) {
         for (const auto& shard : plan_.shards_of(domain))
             check_claim(shard, now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -105,9 +105,6 @@
     /// True if this host has a configuration, and no other has shown a newer one for longer than a
     /// moment.
     bool config_current(time_point now) const;
-    /// True if this host owns a shard, or could within a moment, and so needs a fresh list of
-    /// workers.
-    bool needs_workers() const { return !owned_.empty() || unowned_; }
     std::optional<cluster_config> const& config() const noexcept { return config_; }
 
     /// Begins the planned stop: claims nothing new and hands over what it owns.
@@ -200,7 +197,6 @@
     time_point next_claims_{};
     bool workers_complete_ = false;
     bool leaving_ = false;
-    bool unowned_ = false; ///< a shard of this host's domain has no owner
 };
 
 } // namespace chivewharf::fleet
