daemon: Report a failed write of a link from the loop

Since links are written directly, a write that failed closed the link within send(). A connection that is reset before it is opened was then reported closed before its owner had put it into its table, which kept it for ever, and a core that sends could be called back from within its own call.

--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -46,7 +46,7 @@
 
 void peer_link::send(const wire::message& message)
 {
-    if (closed_)
+    if (closed_ || !failure_.empty())
         return;
     const auto frame = wire::encode(message);
     bytes_sent_ += frame.size();
@@ -84,12 +84,14 @@
         if (size < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE)
             break;
         if (size < 0) {
-            close(error->message);
-            return;
+            // Reported from the loop, since the owner may be sending from a call of its own.
+            failure_ = error->message;
+            schedule_check();
+            break;
         }
         written_ += static_cast<std::size_t>(size);
     }
-    const bool blocked = written_ < queued_.size();
+    const bool blocked = failure_.empty() && written_ < queued_.size();
     if (!blocked) {
         queued_.clear();
         written_ = 0;
@@ -160,13 +162,19 @@
     auto next = monitor_.next_check();
     if (!handshake_.done())
         next = std::min(next, handshake_.deadline());
-    const duration wait = std::clamp<duration>(next - now, least_check, greatest_check);
+    const duration wait = failure_.empty()
+                              ? std::clamp<duration>(next - now, least_check, greatest_check)
+                              : duration{0};
     check_timer_.once(wait, [this] { check(); });
 }
 
 void peer_link::check()
 {
     const auto now = boot_clock::now();
+    if (!failure_.empty()) {
+        close(failure_);
+        return;
+    }
     if (const auto in_time = handshake_.check(now); !in_time) {
         close("handshake failed: " + in_time.error().message);
         return;
--- a/modules/daemon/peer_link.h
+++ b/modules/daemon/peer_link.h
@@ -80,6 +80,7 @@
     std::string read_buffer_;
     std::string queued_;
     std::size_t written_ = 0; ///< of what is queued
+    std::string failure_;     ///< why a write failed; the link is about to close
     runtime::timer check_timer_;
     std::shared_ptr<peer_link> self_;
     time_point ready_since_{};
