fleet_soak: Compare a version with what was known when it was asked for

Samples were compared in the order of their questions. Every sample is now compared with the greatest version that was answered before its question, which is never less than the one before it. Found by reading; no run has shown the false report.

--- a/testing/fleet_soak/main.cpp
+++ b/testing/fleet_soak/main.cpp
@@ -115,34 +115,38 @@
             call.method = "GET";
             call.url = all_.metrics_url(host);
             call.timeout = seconds{10};
-            http_.send(std::move(call), [this, host, starts = process.starts,
-                                         asked = ++samples_](const runtime::call_result& got) {
-                if (got.outcome == runtime::call_outcome::answered)
-                    take_sample(host, starts, asked, got.body);
-            });
+            const std::pair which{host, process.starts};
+            http_.send(std::move(call),
+                       [this, which, known = versions_[which]](const runtime::call_result& got) {
+                           if (got.outcome == runtime::call_outcome::answered)
+                               take_sample(which, known, got.body);
+                       });
         }
     }
 
-    void take_sample(int host, int starts, std::uint64_t asked, const std::string& metrics)
+    /// A paused host answers the questions that wait for it in any order, so a sample is compared
+    /// with the version that was known when it was asked.
+    void take_sample(const std::pair<int, int>& which, std::uint64_t known,
+                     const std::string& metrics)
     {
         const std::string name = "\nchivewharf_config_version ";
         const auto found = metrics.find(name);
         if (found == std::string::npos)
             return;
         const auto version = std::stoull(metrics.substr(found + name.size()));
-        auto& last = versions_[{host, starts}];
-        if (asked > last.asked && version < last.version)
-            seen_.violation("host " + std::to_string(host) + " went back from configuration " +
-                            std::to_string(last.version) + " to " + std::to_string(version));
-        if (asked > last.asked)
-            last = {asked, version};
+        if (version < known)
+            seen_.violation("host " + std::to_string(which.first) +
+                            " went back from configuration " + std::to_string(known) + " to " +
+                            std::to_string(version));
+        auto& greatest = versions_[which];
+        greatest = std::max<std::uint64_t>(greatest, version);
     }
 
     void check_versions()
     {
         for (int host = 0; host < host_count; ++host) {
             const auto& process = all_.hosts()[static_cast<std::size_t>(host)];
-            const auto version = versions_[{host, process.starts}].version;
+            const auto version = versions_[{host, process.starts}];
             if (version != all_.version())
                 seen_.violation("host " + std::to_string(host) + " has configuration " +
                                 std::to_string(version) + " instead of " +
@@ -168,11 +172,6 @@
         loop_.quit(seen_.violations.empty() ? 0 : 1);
     }
 
-    struct sample {
-        std::uint64_t asked = 0;
-        std::uint64_t version = 0;
-    };
-
     cluster& all_;
     evidence& seen_;
     rng random_;
@@ -181,8 +180,8 @@
     faults faults_;
     callers callers_;
     runtime::http_client http_{{4096, 16, 60}};
-    std::map<std::pair<int, int>, sample> versions_; ///< by host and start of its process
-    std::uint64_t samples_ = 0;
+    /// Greatest version that a host has shown, by host and start of its process.
+    std::map<std::pair<int, int>, std::uint64_t> versions_;
     runtime::timer publish_;
     runtime::timer sample_;
 };
