testing: Join what the two soaks and the simulated worker had twice

Both soaks made a folder, a loop and a network of their own with the same lines; these are functions of testing/support now. The new soak's faults of workers and of the store set one field or mode each through one function. The simulated worker checks the token in one place.

--- a/testing/fleet_soak/cluster.cpp
+++ b/testing/fleet_soak/cluster.cpp
@@ -2,7 +2,7 @@
 
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
+#include <testing/support/soak_run.h>
 
 namespace chivewharf::fleet_soak {
 
@@ -46,9 +46,7 @@
       }},
       workers_{store_, seen, seed + 1}, processes_{folder}
 {
-    // Runs that are in progress at the same time use networks of their own.
-    const int pid = getpid();
-    net_ = "127." + std::to_string(16 + pid / 250 % 200) + '.' + std::to_string(pid % 250) + '.';
+    net_ = testing_support::own_network();
     for (int i = 0; i < static_cast<int>(std::size(domain_names)) * workers_per_domain; ++i)
         workers_.add("w-" + std::to_string(i), domain_names[i / workers_per_domain],
                      at(first_worker_machine + i, worker_port));
--- a/testing/fleet_soak/faults.cpp
+++ b/testing/fleet_soak/faults.cpp
@@ -11,11 +11,14 @@
 using testing_support::relay;
 using testing_support::route_name;
 using testing_support::target_kind;
+using testing_support::worker_fault;
 
 namespace {
 
 /// Time that a planned stop may take; then the process is killed, as the platform does.
 constexpr duration stop_limit = seconds{6};
+/// Share of a worker's orders that are disturbed.
+constexpr double disturbed_share = 0.3;
 
 } // namespace
 
@@ -236,22 +239,25 @@
                    });
 }
 
-faults::ending faults::store_refuses()
+faults::ending faults::set_store(store_mode mode)
 {
-    all_.store().set_mode(store_mode::refusing);
+    all_.store().set_mode(mode);
     return [this] { all_.store().set_mode(store_mode::up); };
 }
 
+faults::ending faults::store_refuses()
+{
+    return set_store(store_mode::refusing);
+}
+
 faults::ending faults::store_silent()
 {
-    all_.store().set_mode(store_mode::silent);
-    return [this] { all_.store().set_mode(store_mode::up); };
+    return set_store(store_mode::silent);
 }
 
 faults::ending faults::store_loses()
 {
-    all_.store().set_mode(store_mode::losing);
-    return [this] { all_.store().set_mode(store_mode::up); };
+    return set_store(store_mode::losing);
 }
 
 faults::ending faults::store_forgets()
@@ -268,32 +274,32 @@
     });
 }
 
+template <class Value>
+faults::ending faults::set_worker(Value worker_fault::*field, Value value)
+{
+    auto& fault = all_.workers().fault(below(all_.workers().size()));
+    fault.*field = value;
+    return [&fault, field] { fault.*field = Value{}; };
+}
+
 faults::ending faults::worker_late()
 {
-    const auto worker = below(all_.workers().size());
-    all_.workers().fault(worker).late_orders = 0.3;
-    return [this, worker] { all_.workers().fault(worker).late_orders = 0; };
+    return set_worker(&worker_fault::late_orders, disturbed_share);
 }
 
 faults::ending faults::worker_loses()
 {
-    const auto worker = below(all_.workers().size());
-    all_.workers().fault(worker).lost_answers = 0.3;
-    return [this, worker] { all_.workers().fault(worker).lost_answers = 0; };
+    return set_worker(&worker_fault::lost_answers, disturbed_share);
 }
 
 faults::ending faults::worker_hangs()
 {
-    const auto worker = below(all_.workers().size());
-    all_.workers().fault(worker).hangs_tasks = true;
-    return [this, worker] { all_.workers().fault(worker).hangs_tasks = false; };
+    return set_worker(&worker_fault::hangs_tasks, true);
 }
 
 faults::ending faults::worker_fails()
 {
-    const auto worker = below(all_.workers().size());
-    all_.workers().fault(worker).fails_tasks = true;
-    return [this, worker] { all_.workers().fault(worker).fails_tasks = false; };
+    return set_worker(&worker_fault::fails_tasks, true);
 }
 
 faults::ending faults::worker_crashes()
--- a/testing/fleet_soak/faults.h
+++ b/testing/fleet_soak/faults.h
@@ -33,6 +33,10 @@
     void restart(testing_support::child* host);
     ending disturb(testing_support::disturbance kind, testing_support::relay::selector which);
     testing_support::relay::selector domain_paths();
+    ending set_store(store_mode mode);
+    /// Sets a field of a worker's fault, until the end.
+    template <class Value>
+    ending set_worker(Value testing_support::worker_fault::*field, Value value);
 
     ending kill();
     ending kill_all();
--- a/testing/fleet_soak/main.cpp
+++ b/testing/fleet_soak/main.cpp
@@ -4,13 +4,11 @@
 #include "callers.h"
 #include "faults.h"
 
-#include <filesystem>
-#include <fstream>
-#include <glib/gstdio.h>
 #include <iostream>
 #include <runtime/main_loop.h>
 #include <testing/support/after.h>
 #include <testing/support/options.h>
+#include <testing/support/soak_run.h>
 
 namespace chivewharf::fleet_soak {
 namespace {
@@ -191,24 +189,14 @@
     const auto options = testing_support::read_options(
         argc, argv, {{"seed", "20261204"}, {"seconds", "40"}, {"keep", "0"}, {"bin", "build/bin"}});
     const auto seed = std::stoull(options.at("seed"));
-    const runtime::gfree_ptr<char> folder{g_dir_make_tmp("chivewharf-soak-XXXXXX", nullptr)};
-    std::cout << "folder " << folder.get() << " seed " << seed << std::endl;
-    int code = 0;
-    {
-        runtime::main_loop* loop_pointer = nullptr;
-        runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(2); }};
-        loop_pointer = &loop;
-        evidence seen;
-        cluster all{options.at("bin"), folder.get(), seen, seed};
-        soak one{all, seen, seed, seconds{std::stoi(options.at("seconds"))}, loop};
-        one.start();
-        code = loop.run();
-    }
-    if (code == 0 && options.at("keep") == "0")
-        std::filesystem::remove_all(folder.get());
-    else
-        std::cout << "logs are in " << folder.get() << std::endl;
-    return code;
+    return testing_support::run_in_folder(
+        seed, options.at("keep") != "0", [&](const std::string& folder, runtime::main_loop& loop) {
+            evidence seen;
+            cluster all{options.at("bin"), folder, seen, seed};
+            soak one{all, seen, seed, seconds{std::stoi(options.at("seconds"))}, loop};
+            one.start();
+            return loop.run();
+        });
 }
 
 } // namespace
--- a/testing/soak/cluster.cpp
+++ b/testing/soak/cluster.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <configlog/config_record.h>
 #include <fstream>
+#include <testing/support/soak_run.h>
 #include <unistd.h>
 
 namespace chivewharf::soak {
@@ -42,9 +43,7 @@
 cluster::cluster(std::string bin, std::string folder)
     : bin_{std::move(bin)}, folder_{std::move(folder)}, processes_{folder_}, http_{{4096, 4096, 4}}
 {
-    // Runs that are in progress at the same time use networks of their own.
-    const int pid = getpid();
-    net_ = "127." + std::to_string(16 + pid / 250 % 200) + '.' + std::to_string(pid % 250) + '.';
+    net_ = testing_support::own_network();
     platform_.name = "platform";
     platform_.command = {bin_ + "/standin_platform", "--listen", at(ip(platform_ip), 8091)};
     for (int process = 0; process < 6; ++process) {
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -4,13 +4,12 @@
 #include "faults.h"
 
 #include <algorithm>
-#include <filesystem>
 #include <fstream>
-#include <glib/gstdio.h>
 #include <iostream>
 #include <runtime/main_loop.h>
 #include <testing/support/after.h>
 #include <testing/support/options.h>
+#include <testing/support/soak_run.h>
 
 namespace chivewharf::soak {
 
@@ -356,24 +355,14 @@
                        {}};
     if (!options.at("rounds").empty())
         wanted.rounds = std::stoi(options.at("rounds"));
-    const runtime::gfree_ptr<char> folder{g_dir_make_tmp("chivewharf-soak-XXXXXX", nullptr)};
-    wanted.folder = folder.get();
-    std::cout << "folder " << folder.get() << " seed " << wanted.seed << std::endl;
-    int code = 0;
-    {
-        runtime::main_loop* loop_pointer = nullptr;
-        runtime::main_loop loop{[&loop_pointer](int) { loop_pointer->quit(2); }};
-        loop_pointer = &loop;
-        cluster all{options.at("bin"), folder.get()};
-        soak one{all, wanted, loop};
-        one.start();
-        code = loop.run();
-    }
-    if (code == 0 && options.at("keep") == "0")
-        std::filesystem::remove_all(folder.get());
-    else
-        std::cout << "logs are in " << folder.get() << std::endl;
-    return code;
+    return testing_support::run_in_folder(wanted.seed, options.at("keep") != "0",
+                                          [&](const std::string& folder, runtime::main_loop& loop) {
+                                              wanted.folder = folder;
+                                              cluster all{options.at("bin"), folder};
+                                              soak one{all, wanted, loop};
+                                              one.start();
+                                              return loop.run();
+                                          });
 }
 
 } // namespace
--- a/testing/support/sim_worker.cpp
+++ b/testing/support/sim_worker.cpp
@@ -44,19 +44,23 @@
     return !over.empty();
 }
 
+order_reply sim_worker::take_token(std::uint64_t shown, time_point now)
+{
+    order_reply reply;
+    reply.clock_ms = clock(now);
+    reply.outcome = shown < token ? order_outcome::fenced : order_outcome::accepted;
+    token = std::max(token, shown);
+    return reply;
+}
+
 order_reply sim_worker::start(const fleet::start_order& order, const task_plan& plan,
                               time_point now, bool& began)
 {
     began = false;
-    order_reply reply;
-    const auto time = clock(now);
-    reply.clock_ms = time;
-    if (order.token < token) {
-        reply.outcome = order_outcome::fenced;
+    auto reply = take_token(order.token, now);
+    if (reply.outcome != order_outcome::accepted)
         return reply;
-    }
-    token = order.token;
-    reply.outcome = order_outcome::accepted;
+    const auto time = clock(now);
     const auto there = running.find(order.task);
     if (there != running.end() && there->second.run == order.run)
         return reply;
@@ -77,14 +81,9 @@
 
 order_reply sim_worker::stop(const fleet::stop_order& order, time_point now)
 {
-    order_reply reply;
-    reply.clock_ms = clock(now);
-    if (order.token < token) {
-        reply.outcome = order_outcome::fenced;
+    const auto reply = take_token(order.token, now);
+    if (reply.outcome != order_outcome::accepted)
         return reply;
-    }
-    token = order.token;
-    reply.outcome = order_outcome::accepted;
     auto& highest = stopped[order.task];
     highest = std::max(highest, order.run);
     return reply;
@@ -104,12 +103,9 @@
     look_reply reply;
     reply.clock_ms = clock(now);
     reply.life = life;
-    if (order.token < token) {
-        reply.outcome = order_outcome::fenced;
+    reply.outcome = take_token(order.token, now).outcome;
+    if (reply.outcome != order_outcome::accepted)
         return reply;
-    }
-    token = order.token;
-    reply.outcome = order_outcome::accepted;
     if (order.expires_at_ms)
         lease_ms =
             std::max(lease_ms, std::min(*order.expires_at_ms, reply.clock_ms + longest_lease_ms));
--- a/testing/support/sim_worker.h
+++ b/testing/support/sim_worker.h
@@ -82,6 +82,8 @@
     bool over_room() const;
 
 private:
+    /// Keeps the highest token. The answer is final if the order showed a lower one.
+    fleet::order_reply take_token(std::uint64_t shown, time_point now);
     void end(const std::string& task, fleet::task_end how);
 };
 
