--- a/modules/daemon/daemon.h
+++ b/modules/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include <daemon/entry_daemon.h>
 #include <daemon/fleet_daemon.h>
 #include <daemon/link_hub.h>
+#include <daemon/link_sockets.h>
 #include <daemon/peer_gateway.h>
 #include <daemon/peer_link.h>
 #include <daemon/platform_gateway.h>
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <daemon/link_sockets.h>
 #include <daemon/peer_link.h>
 #include <fleet/ports.h>
 #include <functional>
@@ -49,10 +50,7 @@
 
 private:
     using link_ptr = peer_link::link_ptr;
-    struct dial_request;
 
-    static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
-    static void dialled(GObject* client, GAsyncResult* result, gpointer data);
     void dial_all();
     void dial(const std::string& address);
     bool linked_to(const std::string& address) const;
@@ -70,10 +68,7 @@
     std::uint64_t& dropped_;
     events events_;
     std::vector<std::string> seeds_;
-    runtime::gobject_ptr<GSocket> listener_;
-    runtime::gobject_ptr<GSocketClient> client_;
-    runtime::gobject_ptr<GCancellable> cancellable_;
-    GSource* accept_source_ = nullptr;
+    link_sockets sockets_;
     std::set<link_ptr> links_;
     std::map<std::string, link_ptr> by_host_;
     std::map<std::string, std::string> host_at_; ///< host that answered at a dialled address
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -2,24 +2,17 @@
 
 #include <algorithm>
 #include <base/log_line.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <runtime/socket_address.h>
 
 namespace chivewharf::daemon {
 
 namespace {
 
-constexpr int listen_backlog = 256;
 constexpr std::size_t max_waiting = 64;
 constexpr duration connect_backoff = milliseconds{200};
-constexpr guint connect_timeout_seconds = 1;
 /// A link on which nothing arrived for this long is closed. It may have gone silent without a
 /// request that would have shown it.
 constexpr duration idle_limit = seconds{30};
-/// The kernel gives a connection up when sent bytes stay without acknowledgement for this long, so
-/// that heartbeats move to a new link before the host is suspected.
-constexpr int unacknowledged_limit_ms = 1000;
 constexpr duration idle_check = seconds{1};
 
 /// Two hosts that connect to each other at once get two links within this time.
@@ -27,12 +20,6 @@
 
 } // namespace
 
-struct peer_gateway::connect_request {
-    peer_gateway* gateway;
-    std::string host;
-    runtime::gobject_ptr<GCancellable> cancellable;
-};
-
 peer_gateway::peer_gateway(core_loop& loop, metrics::registry& metrics, std::string address,
                            std::string key, std::uint64_t seed)
     : loop_{loop}, address_{std::move(address)}, key_{std::move(key)}, random_{seed},
@@ -51,19 +38,12 @@
 result<void, runtime::runtime_error>
 peer_gateway::start(std::function<void(runtime::runtime_error)> /*failed*/)
 {
-    auto socket = runtime::open_listener(address_, listen_backlog);
-    if (!socket)
-        return unexpected{socket.error()};
-    listener_ = std::move(*socket);
-    port_ = runtime::local_port(listener_.get());
-    cancellable_.reset(g_cancellable_new());
-    client_.reset(g_socket_client_new());
-    g_socket_client_set_enable_proxy(client_.get(), FALSE);
-    g_socket_client_set_timeout(client_.get(), connect_timeout_seconds);
-    accept_source_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
-    g_source_set_callback(accept_source_, G_SOURCE_FUNC(&peer_gateway::accept_ready), this,
-                          nullptr);
-    g_source_attach(accept_source_, nullptr);
+    const auto port = sockets_.start(address_, [this](link_sockets::connection_ptr accepted) {
+        open_link(std::move(accepted), wire::link_side::accepting, {});
+    });
+    if (!port)
+        return unexpected{port.error()};
+    port_ = *port;
     idle_timer_.every(idle_check, [this] { close_idle(); });
     log_line{"peers_listening"}.add("address", address_).add("port", int{port_}).write();
     return {};
@@ -71,39 +51,19 @@
 
 void peer_gateway::stop()
 {
-    if (accept_source_ == nullptr)
+    if (!sockets_.started())
         return;
-    g_source_destroy(accept_source_);
-    g_source_unref(accept_source_);
-    accept_source_ = nullptr;
+    sockets_.stop();
     idle_timer_.cancel();
-    g_cancellable_cancel(cancellable_.get());
-    listener_.reset();
     const auto open = links_;
     for (const auto& link : open)
         link->close("this host is stopping");
     routes_.clear();
 }
 
-gboolean peer_gateway::accept_ready(GSocket* socket, GIOCondition /*condition*/, gpointer self)
-{
-    auto* gateway = static_cast<peer_gateway*>(self);
-    while (auto* accepted = g_socket_accept(socket, nullptr, nullptr)) {
-        const runtime::gobject_ptr<GSocket> owner{accepted};
-        g_socket_set_blocking(accepted, FALSE);
-        runtime::gobject_ptr<GSocketConnection> connection{
-            g_socket_connection_factory_create_connection(accepted)};
-        gateway->open_link(std::move(connection), wire::link_side::accepting, {});
-    }
-    return G_SOURCE_CONTINUE;
-}
-
 void peer_gateway::open_link(runtime::gobject_ptr<GSocketConnection> connection,
                              wire::link_side side, const std::string& expected_host)
 {
-    auto* socket = g_socket_connection_get_socket(connection.get());
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms, nullptr);
     const auto& self = loop_.core().self();
     wire::hello greeting;
     greeting.domain = self.domain;
@@ -145,33 +105,21 @@
     if (!address)
         return;
     to.connecting = true;
-    auto* request = new connect_request{this, host, runtime::retain(cancellable_.get())};
-    g_socket_client_connect_async(client_.get(), G_SOCKET_CONNECTABLE(address->get()),
-                                  cancellable_.get(), &peer_gateway::connected, request);
+    sockets_.dial(address->get(), [this, host](link_sockets::connection_ptr connection) {
+        connected(host, std::move(connection));
+    });
 }
 
-void peer_gateway::connected(GObject* client, GAsyncResult* result, gpointer data)
+void peer_gateway::connected(const std::string& host, link_sockets::connection_ptr connection)
 {
-    const std::unique_ptr<connect_request> request{static_cast<connect_request*>(data)};
-    GError* error = nullptr;
-    runtime::gobject_ptr<GSocketConnection> connection{
-        g_socket_client_connect_finish(G_SOCKET_CLIENT(client), result, &error)};
-    const runtime::gerror_ptr owner{error};
-    // A cancelled request belongs to a gateway that has stopped and may be gone.
-    if (g_cancellable_is_cancelled(request->cancellable.get()) != FALSE)
-        return;
-    auto* gateway = request->gateway;
-    auto& to = gateway->routes_[request->host];
-    if (!connection) {
-        to.connecting = false;
-        gateway->dropped_ += to.waiting.size();
-        to.waiting.clear();
+    if (connection) {
+        open_link(std::move(connection), wire::link_side::connecting, host);
         return;
     }
-    // The client's timeout stays on the socket and would end a link that is silent for 1 s, which
-    // is the link monitor's decision.
-    g_socket_set_timeout(g_socket_connection_get_socket(connection.get()), 0);
-    gateway->open_link(std::move(connection), wire::link_side::connecting, request->host);
+    auto& to = routes_[host];
+    to.connecting = false;
+    dropped_ += to.waiting.size();
+    to.waiting.clear();
 }
 
 bool peer_gateway::supersedes(const peer_link& fresh, const peer_link& old) const
--- a/modules/daemon/peer_gateway.h
+++ b/modules/daemon/peer_gateway.h
@@ -2,6 +2,7 @@
 
 #include <base/rng.h>
 #include <daemon/core_loop.h>
+#include <daemon/link_sockets.h>
 #include <daemon/peer_link.h>
 #include <deque>
 #include <map>
@@ -49,11 +50,7 @@
         bool connecting = false;
     };
 
-    struct connect_request;
-
-    static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
-    static void connected(GObject* client, GAsyncResult* result, gpointer request);
-
+    void connected(const std::string& host, link_sockets::connection_ptr connection);
     void open_link(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side,
                    const std::string& expected_host);
     void connect(const std::string& host, route& to);
@@ -68,10 +65,7 @@
     std::string address_;
     std::string key_;
     rng random_;
-    runtime::gobject_ptr<GSocket> listener_;
-    GSource* accept_source_ = nullptr;
-    runtime::gobject_ptr<GSocketClient> client_;
-    runtime::gobject_ptr<GCancellable> cancellable_;
+    link_sockets sockets_;
     std::map<std::string, route> routes_;
     std::set<link_ptr> links_;
     runtime::timer idle_timer_;
