fleet: Look a request's queue up once, and count every refusal

The front checked the configuration and found the queue, and the core did both again for each job; refusals by the front were neither logged nor counted, nor were malformed requests. The core's find_queue does it once and counts and logs through the same function as other refusals. fleet_host.refusals_before_a_job_is_taken_are_counted covers the reasons.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <set>
 #include <utility>
 
 namespace chivewharf::fleet {
@@ -172,8 +173,7 @@
     else if (const auto* order = std::get_if<wire::job_order>(&message))
         take_order(host, *order, now);
     else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message))
-        for (auto& [shard, owned] : owned_)
-            owned.owner->cancel(cancelled->job, now);
+        cancel_owned(cancelled->job, now);
 }
 
 void fleet_host::take_order(const std::string& from, const wire::job_order& order, time_point now)
@@ -214,10 +214,8 @@
         take_order(host, *order, now);
     else if (const auto* result = std::get_if<wire::job_result>(&message))
         router_->result(host, *result, now);
-    else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message)) {
-        for (auto& [shard, owned] : owned_)
-            owned.owner->cancel(cancelled->job, now);
-    }
+    else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message))
+        cancel_owned(cancelled->job, now);
     else if (const auto* told = std::get_if<wire::host_report>(&message))
         take_report(host, *told, now);
     else if (std::holds_alternative<wire::config_request>(message)) {
@@ -240,37 +238,43 @@
     }
 }
 
-std::optional<rejection> fleet_host::submit(std::uint64_t request, const std::string& virtual_host,
-                                            const std::string& path, job_request job,
-                                            duration patience, time_point now)
-{
-    const auto reject = [&](rejection why) {
-        ++metrics_.counter("chivewharf_rejections_total",
-                           "reason=\"" + std::string{to_name(why)} + '"');
-        if (log_.wanted(job.job, now))
-            log_line{"job_rejected"}
-                .add("job", job.job)
-                .add("why", to_name(why))
-                .add("version", config_ ? config_->version : 0)
-                .add("newest", newest_config_)
-                .write();
-        return why;
-    };
-    if (!config_current(now))
-        return reject(rejection::no_config);
+rejection fleet_host::reject(rejection why, const std::string& job, time_point now)
+{
+    ++metrics_.counter("chivewharf_rejections_total",
+                       "reason=\"" + std::string{to_name(why)} + '"');
+    if (log_.wanted(job, now))
+        log_line{"job_rejected"}
+            .add("job", job)
+            .add("why", to_name(why))
+            .add("version", config_ ? config_->version : 0)
+            .add("newest", newest_config_)
+            .write();
+    return why;
+}
+
+result<const queue_config*, rejection>
+fleet_host::find_queue(const std::string& virtual_host, const std::string& path, time_point now)
+{
     const auto* queue = queues_.find(virtual_host, path);
-    if (queue == nullptr)
-        return reject(rejection::unknown_queue);
-    if (job.durable || job.repeated || job.perpetual || job.fills_leftover || queue->needs_advice)
-        return reject(rejection::unsupported);
+    if (config_current(now) && queue != nullptr)
+        return queue;
+    const auto why = config_current(now) ? rejection::unknown_queue : rejection::no_config;
+    return unexpected{reject(why, path.substr(path.rfind('/') + 1), now)};
+}
+
+std::optional<rejection> fleet_host::submit(std::uint64_t request, const queue_config& queue,
+                                            job_request job, duration patience, time_point now)
+{
+    if (job.durable || job.repeated || job.perpetual || job.fills_leftover || queue.needs_advice)
+        return reject(rejection::unsupported, job.job, now);
     wire::job_order order;
     order.job = std::move(job.job);
-    order.queue = queue->name;
-    order.service = queue->service;
-    order.priority = queue->priority;
-    order.max_attempts = queue->max_attempts;
-    order.stretch = queue->stretch;
-    order.target_ms = static_cast<std::uint32_t>(to_ms(queue->target));
+    order.queue = queue.name;
+    order.service = queue.service;
+    order.priority = queue.priority;
+    order.max_attempts = queue.max_attempts;
+    order.stretch = queue.stretch;
+    order.target_ms = static_cast<std::uint32_t>(to_ms(queue.target));
     order.remaining_ms = static_cast<std::uint32_t>(to_ms(patience));
     order.payload = std::move(job.payload);
     order.steps = std::move(job.steps);
@@ -284,9 +288,14 @@
         return true;
     // Another host may have the job's caller; owners stop its tasks.
     broadcast(wire::job_cancel{job, 0});
+    cancel_owned(job, now);
+    return false;
+}
+
+void fleet_host::cancel_owned(const std::string& job, time_point now)
+{
     for (auto& [shard, owned] : owned_)
         owned.owner->cancel(job, now);
-    return false;
 }
 
 std::vector<owner_view> fleet_host::owners(time_point now) const
@@ -579,10 +588,10 @@
 void fleet_host::send_report(time_point now)
 {
     const auto told = report(now);
-    for (auto& [name, host] : directory_.hosts()) {
+    for (const auto& [name, host] : directory_.hosts()) {
         if (!host.linked)
             continue;
-        host.told = now;
+        directory_.report_sent(name, now);
         peers_.send(name, told);
     }
 }
@@ -591,13 +600,13 @@
 {
     const auto owners = router_->owners_with_jobs();
     std::optional<wire::host_report> told;
-    for (auto& [name, host] : directory_.hosts()) {
+    for (const auto& [name, host] : directory_.hosts()) {
         const bool often = !owned_.empty() || owners.contains(name);
         if (!host.linked || now - host.told < (often ? report_interval : slow_report_interval))
             continue;
         if (!told)
             told = report(now);
-        host.told = now;
+        directory_.report_sent(name, now);
         peers_.send(name, *told);
     }
 }
@@ -607,8 +616,7 @@
     std::set<std::string> requesters;
     for (const auto& [shard, owned] : owned_)
         owned.owner->add_requesters(requesters);
-    for (auto& [name, host] : directory_.hosts())
-        host.has_jobs_here = requesters.contains(name);
+    directory_.set_requesters(requesters);
     std::vector<std::string> silent;
     for (const auto& [name, host] : directory_.hosts()) {
         if (directory_.silent(host, now))
@@ -670,7 +678,7 @@
     leaving_ = true;
     leaving_since_ = now;
     log_line{"leaving"}
-        .add("domains", std::uint64_t{owned_.size()})
+        .add("shards", std::uint64_t{owned_.size()})
         .add("jobs", std::uint64_t{router_->jobs()})
         .write();
     send_report(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -17,7 +17,6 @@
 #include <memory>
 #include <metrics/registry.h>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,15 +83,16 @@
 
     // From callers.
 
-    /// Takes a job, or says why not. The answer comes through the port.
-    std::optional<rejection> submit(std::uint64_t request, const std::string& virtual_host,
-                                    const std::string& path, job_request job, duration patience,
-                                    time_point now);
-    /// Queue of a request; null if there is none.
-    const queue_config* queue_of(std::string_view virtual_host, std::string_view path) const
-    {
-        return queues_.find(virtual_host, path);
-    }
+    /// Queue of a request, or why it is refused. It holds until the configuration changes.
+    result<const queue_config*, rejection> find_queue(const std::string& virtual_host,
+                                                      const std::string& path, time_point now);
+    /// Takes a job for the queue, or says why not. The answer comes through the port.
+    std::optional<rejection> submit(std::uint64_t request, const queue_config& queue,
+                                    job_request job, duration patience, time_point now);
+    /// Counts and logs a refusal.
+    /// \param job id of the job, or the end of the path where that is not known
+    /// \return the reason
+    rejection reject(rejection why, const std::string& job, time_point now);
     job_router& router() noexcept { return *router_; }
     /// Cancels a job wherever it runs.
     /// \return false if this host does not know it
@@ -160,6 +160,8 @@
     void send_due_reports(time_point now);
     void fetch_config(time_point now);
     void broadcast(const wire::message& message);
+    /// Cancels the job at the shards that this host owns.
+    void cancel_owned(const std::string& job, time_point now);
     void adopt(cluster_config config, time_point now);
     void hand_over(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -53,6 +53,19 @@
         found->second.heard = now;
 }
 
+void host_directory::report_sent(const std::string& host, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end())
+        found->second.told = now;
+}
+
+void host_directory::set_requesters(const std::set<std::string>& hosts)
+{
+    for (auto& [name, host] : hosts_)
+        host.has_jobs_here = hosts.contains(name);
+}
+
 bool host_directory::silent(const host_view& host, time_point now) const
 {
     const auto limit = host.reports_often() ? silence_limit : long_silence_limit;
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 #include <wire/messages.h>
@@ -49,6 +50,12 @@
     /// A message of any kind arrived.
     void heard(const std::string& host, time_point now);
 
+    /// A report was sent to the host.
+    void report_sent(const std::string& host, time_point now);
+
+    /// Replaces the hosts that wait for results of this host's shards.
+    void set_requesters(const std::set<std::string>& hosts);
+
     bool alive(const host_view& host, time_point now) const;
 
     /// True if the host is linked and has been silent for too long.
@@ -61,7 +68,6 @@
     void expire(time_point now);
 
     const std::map<std::string, host_view>& hosts() const noexcept { return hosts_; }
-    std::map<std::string, host_view>& hosts() noexcept { return hosts_; }
     std::vector<wire::host_record> records() const;
 
 private:
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -379,6 +379,55 @@
     }
 }
 
+class no_peers final : public peer_port {
+public:
+    void send(const std::string& /*host*/, const wire::message& /*message*/) override {}
+    void drop(const std::string& /*host*/) override {}
+};
+
+class no_callers final : public caller_port {
+public:
+    void answer(std::uint64_t /*request*/, job_answer /*answer*/, duration /*after*/) override {}
+};
+
+// Guards against refusals that no counter shows: on-call engineers could not tell a host without a
+// configuration from one that gets no requests.
+TEST(fleet_host, refusals_before_a_job_is_taken_are_counted)
+{
+    recorded_worker_port workers;
+    no_peers peers;
+    no_callers callers;
+    metrics::registry metrics;
+    fleet_host host{{"a", "d", "10.0.0.1:1", 1, 250},
+                    {"d"},
+                    workers,
+                    peers,
+                    callers,
+                    metrics,
+                    [](const std::string& record) -> result<cluster_config, std::string> {
+                        cluster_config config;
+                        config.version = 1;
+                        config.record = record;
+                        config.queues = {{"q", "h", "/q/", "s"}};
+                        config.queues[0].needs_advice = true;
+                        return config;
+                    },
+                    start};
+    const auto refusals = [&](rejection why) {
+        return metrics.counter("chivewharf_rejections_total",
+                               "reason=\"" + std::string{to_name(why)} + '"');
+    };
+    EXPECT_EQ(host.find_queue("h", "/q/j", start).error(), rejection::no_config);
+    EXPECT_EQ(refusals(rejection::no_config), 1U);
+    host.config_read("one", start);
+    EXPECT_EQ(host.find_queue("h", "/other/j", start).error(), rejection::unknown_queue);
+    EXPECT_EQ(refusals(rejection::unknown_queue), 1U);
+    const auto queue = host.find_queue("h", "/q/j", start);
+    ASSERT_TRUE(queue);
+    EXPECT_EQ(host.submit(1, **queue, {}, seconds{1}, start), rejection::unsupported);
+    EXPECT_EQ(refusals(rejection::unsupported), 1U);
+}
+
 // Guards against keys that stay known after the store has dropped them together with its history.
 TEST(topic_follower, restart_reports_vanished_keys)
 {
--- a/modules/fleet/tests/fleet_world.cpp
+++ b/modules/fleet/tests/fleet_world.cpp
@@ -650,9 +650,8 @@
         request.steps = work_.at(job).first;
         const auto number = host.next_request++;
         host.callers->jobs[number] = job;
-        const auto rejected =
-            host.core->submit(number, "h", "/checks/" + job, request, work_.at(job).second, now_);
-        if (rejected) {
+        const auto queue = host.core->find_queue("h", "/checks/" + job, now_);
+        if (!queue || host.core->submit(number, **queue, request, work_.at(job).second, now_)) {
             host.callers->jobs.erase(number);
             answered(job, "not_run");
         }
