runtime: Remove the switch that kept idle client connections open

It was to save the loop a source for each idle connection. libsoup 3.2 keeps the source also with an idle time of 0, as a trial with one connection showed, so the switch had no effect but its false comment.

--- a/modules/runtime/http_client.cpp
+++ b/modules/runtime/http_client.cpp
@@ -27,11 +27,10 @@
 
 gobject_ptr<SoupSession> make_session(const http_client_limits& limits)
 {
-    gobject_ptr<SoupSession> session{SOUP_SESSION(
-        g_object_new(SOUP_TYPE_SESSION, "max-conns", limits.max_connections, "max-conns-per-host",
-                     limits.max_connections_per_host, "idle-timeout",
-                     limits.close_each_when_idle ? limits.idle_timeout_seconds : 0U, "timeout", 0U,
-                     "proxy-resolver", nullptr, "user-agent", "chivewharf", nullptr))};
+    gobject_ptr<SoupSession> session{SOUP_SESSION(g_object_new(
+        SOUP_TYPE_SESSION, "max-conns", limits.max_connections, "max-conns-per-host",
+        limits.max_connections_per_host, "idle-timeout", limits.idle_timeout_seconds, "timeout", 0U,
+        "proxy-resolver", nullptr, "user-agent", "chivewharf", nullptr))};
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
     return session;
--- a/modules/runtime/http_client.h
+++ b/modules/runtime/http_client.h
@@ -71,9 +71,6 @@
     /// Idle connections are closed before a typical server closes them (often 5 s), because a
     /// request that meets the server's close is lost in an unknown state.
     unsigned idle_timeout_seconds = 4;
-    /// False: the connections to a host stay open until none of them was used for that time, which
-    /// saves the loop a source for each.
-    bool close_each_when_idle = true;
 };
 
 /// HTTP/1.1 client on libsoup for one kind of outside system. It sends a request at most once:
