fleet: Split the configuration by version and the probe of foreign domains from fleet_host

fleet_host.cpp had grown to 690 lines. config_state holds the version in force, what is known of newer ones and when one is asked for; adoption_probe finds out whether a silent domain's workers answer.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -7,8 +7,10 @@
 /// Depends on: base, metrics, wire (types of the messages between hosts).
 /// Does no input or output except log lines and reads no clock; orders leave through `ports.h`.
 
+#include <fleet/adoption_probe.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
+#include <fleet/config_state.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -13,12 +13,6 @@
 constexpr duration report_interval = milliseconds{100};
 /// Between reports to other hosts.
 constexpr duration slow_report_interval = seconds{1};
-/// A newer configuration that another host has shown is asked for after this time, unless the store
-/// gives it first.
-constexpr duration config_fetch_delay = milliseconds{80};
-constexpr duration config_fetch_retry = milliseconds{300};
-/// The own configuration stays in use for this long after a newer one was heard of.
-constexpr duration config_lag_limit = milliseconds{200};
 /// Claims are decided upon this often.
 constexpr duration claim_interval = milliseconds{60};
 /// A shard is offered when another host should have owned it for this long.
@@ -36,22 +30,14 @@
 /// A leaving owner waits this long for a successor before it stops placing tasks.
 constexpr duration longest_succession = seconds{1};
 
-/// Before a host adopts a domain of others, that domain's workers have answered for this long while
-/// its hosts were silent. Hosts that were cut off together with them report sooner.
-constexpr duration adoption_proof = milliseconds{700};
-constexpr duration probe_interval = milliseconds{200};
-/// One worker may be down; this many probes of different workers in a row are not lost by chance.
-constexpr std::uint32_t lost_probes = 3;
-/// Lower than every owner's token: the worker refuses the look, and nothing changes there.
-constexpr std::uint64_t probe_token = 1;
-
 } // namespace
 
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
     : self_{std::move(self)}, domains_{std::move(domains)}, worker_port_{workers}, peers_{peers},
-      metrics_{metrics}, decode_{std::move(decode)}, policy_{self_.host, now}
+      metrics_{metrics}, decode_{std::move(decode)}, policy_{self_.host, now}, probe_{workers,
+                                                                                      workers_}
 {
     router_ = std::make_unique<job_router>(
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
@@ -70,55 +56,41 @@
 
 void fleet_host::config_read(const std::string& record, time_point now)
 {
-    if (config_ && config_->record == record)
+    if (config() && config()->record == record)
         return;
-    auto config = decode_(record);
-    if (!config) {
+    auto read = decode_(record);
+    if (!read) {
         ++metrics_.counter("chivewharf_bad_records_total", "kind=\"config\"");
-        log_line{"config_unreadable"}.add("why", config.error()).warn();
+        log_line{"config_unreadable"}.add("why", read.error()).warn();
         return;
     }
-    adopt(std::move(*config), now);
-}
-
-void fleet_host::adopt(cluster_config config, time_point now)
-{
-    if (config_ && config.version <= config_->version)
+    const auto former = config_.version();
+    if (!config_.take(std::move(*read)))
         return;
     log_line{"config_in_force"}
-        .add("version", config.version)
-        .add("former", config_ ? config_->version : 0)
-        .add("queues", std::uint64_t{config.queues.size()})
+        .add("version", config_.version())
+        .add("former", former)
+        .add("queues", std::uint64_t{config()->queues.size()})
         .write();
-    config_ = std::move(config);
-    queues_ = queue_index{config_->queues};
-    newest_config_ = std::max(newest_config_, config_->version);
-    metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_->version);
+    metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_.version());
     send_report(now);
 }
 
-bool fleet_host::config_current(time_point now) const
-{
-    return config_ && (config_->version >= newest_config_ || now - newer_heard_ < config_lag_limit);
-}
-
 void fleet_host::fetch_config(time_point now)
 {
-    const auto version = config_ ? config_->version : 0;
-    if (version >= newest_config_ || now - newer_heard_ < config_fetch_delay ||
-        now - config_asked_ < config_fetch_retry)
+    if (!config_.fetch_due(now))
         return;
     std::vector<std::string> have_it;
     for (const auto& [name, host] : directory_.hosts()) {
-        if (host.linked && host.report && host.report->known_config == newest_config_)
+        if (host.linked && host.report && host.report->known_config == config_.newest())
             have_it.push_back(name);
     }
     if (have_it.empty())
         return;
-    config_asked_ = now;
+    config_.fetch_sent(now);
     // Each host begins with another one, and asks the next if there is no answer.
     const auto chosen = (self_.life + config_requests_++) % have_it.size();
-    peers_.send(have_it[chosen], wire::config_request{newest_config_});
+    peers_.send(have_it[chosen], wire::config_request{config_.newest()});
 }
 
 void fleet_host::host_listed(const wire::host_record& record, time_point now)
@@ -194,11 +166,7 @@
                              time_point now)
 {
     directory_.report(from, report, now);
-    if (report.known_config > newest_config_) {
-        if (!config_ || config_->version == newest_config_)
-            newer_heard_ = now;
-        newest_config_ = report.known_config;
-    }
+    config_.heard(report.known_config, now);
     for (const auto& domain : report.domains)
         plan_.heard(domain);
     for (const auto& claim : report.claims) {
@@ -219,11 +187,11 @@
     else if (const auto* told = std::get_if<wire::host_report>(&message))
         take_report(host, *told, now);
     else if (std::holds_alternative<wire::config_request>(message)) {
-        if (config_)
-            peers_.send(host, wire::config_record{config_->version, config_->record});
+        if (config())
+            peers_.send(host, wire::config_record{config_.version(), config()->record});
     }
     else if (const auto* record = std::get_if<wire::config_record>(&message)) {
-        if (!config_ || record->version > config_->version)
+        if (!config() || record->version > config_.version())
             config_read(record->body, now);
     }
     else if (const auto* released = std::get_if<wire::worker_release>(&message)) {
@@ -246,8 +214,8 @@
         log_line{"job_rejected"}
             .add("job", job)
             .add("why", to_name(why))
-            .add("version", config_ ? config_->version : 0)
-            .add("newest", newest_config_)
+            .add("version", config_.version())
+            .add("newest", config_.newest())
             .write();
     return why;
 }
@@ -255,7 +223,7 @@
 result<const queue_config*, rejection>
 fleet_host::find_queue(const std::string& virtual_host, const std::string& path, time_point now)
 {
-    const auto* queue = queues_.find(virtual_host, path);
+    const auto* queue = config_.find_queue(virtual_host, path);
     if (config_current(now) && queue != nullptr)
         return queue;
     const auto why = config_current(now) ? rejection::unknown_queue : rejection::no_config;
@@ -375,48 +343,9 @@
     return (epoch << token_base_bits) | (fence_base_ & mask);
 }
 
-bool fleet_host::may_adopt(const std::string& domain, time_point now)
-{
-    // A domain whose hosts and workers are both silent is cut off, and its own hosts go on serving
-    // it. Taking it over would only disturb them when the path is back.
-    auto& probe = probes_[domain];
-    if (now >= probe.next) {
-        probe.next = now + probe_interval;
-        std::vector<worker_entry> there;
-        for (auto& worker : workers_.list()) {
-            if (worker.domain == domain && !worker.leaving)
-                there.push_back(std::move(worker));
-        }
-        if (there.empty())
-            return false;
-        const auto& chosen =
-            there[static_cast<std::size_t>(now.time_since_epoch() / probe_interval) % there.size()];
-        look_order order{{chosen.id, chosen.address}, probe_token, 0, {}, {}};
-        worker_port_.look(std::move(order), [this, domain, alive = std::weak_ptr<int>{running_}](
-                                                const look_reply& reply) {
-            if (!alive.expired())
-                probe_answered(domain, reply.outcome, reply.received);
-        });
-    }
-    return probe.answered_since && now - *probe.answered_since >= adoption_proof;
-}
-
-void fleet_host::probe_answered(const std::string& domain, order_outcome outcome, time_point now)
-{
-    auto& probe = probes_[domain];
-    if (outcome != order_outcome::unanswered) {
-        probe.unanswered = 0;
-        if (!probe.answered_since)
-            probe.answered_since = now;
-    }
-    else if (++probe.unanswered >= lost_probes) {
-        probe.answered_since.reset();
-    }
-}
-
 void fleet_host::claim(const wire::shard& shard, bool after_leaving, time_point now)
 {
-    probes_.erase(shard.domain);
+    probe_.forget(shard.domain);
     owned_shard owned;
     owned.epoch = next_epoch(shard.domain);
     owned.owned_since = now;
@@ -498,7 +427,7 @@
     case claim_action::none:
         break;
     case claim_action::claim:
-        if (shard.domain == self_.domain || may_adopt(shard.domain, now))
+        if (shard.domain == self_.domain || probe_.proven(shard.domain, now))
             claim(shard, false, now);
         break;
     case claim_action::succeed:
@@ -573,7 +502,7 @@
 {
     wire::host_report told;
     told.fence_base = fence_base_;
-    told.known_config = config_ ? config_->version : 0;
+    told.known_config = config_.version();
     told.leaving = leaving_;
     told.able = able(now) && !leaving_;
     told.processor_milli = self_.processor_milli;
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -3,8 +3,10 @@
 #include <base/result.h>
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/adoption_probe.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
+#include <fleet/config_state.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
@@ -104,8 +106,8 @@
     bool ready(time_point now) const;
     /// True if this host has a configuration, and no other has shown a newer one for longer than a
     /// moment.
-    bool config_current(time_point now) const;
-    std::optional<cluster_config> const& config() const noexcept { return config_; }
+    bool config_current(time_point now) const { return config_.current(now); }
+    const std::optional<cluster_config>& config() const noexcept { return config_.config(); }
 
     /// Begins the planned stop: claims nothing new and hands over what it owns.
     void leave(time_point now);
@@ -132,13 +134,6 @@
         std::optional<time_point> offered;      ///< the shard is to be claimed by another host
     };
 
-    /// What is known of a domain without an owner, whose workers this host could take over.
-    struct domain_probe {
-        std::optional<time_point> answered_since; ///< a worker has answered each probe since then
-        time_point next{};
-        std::uint32_t unanswered = 0; ///< probes in a row
-    };
-
     std::vector<owner_view> owners(time_point now) const;
     void check_claims(time_point now);
     void check_claim(const wire::shard& shard, time_point now);
@@ -146,8 +141,6 @@
     void follow_plan(time_point now);
     void offer_shards(time_point now);
     std::vector<claim_candidate> candidates(const wire::shard& shard, time_point now) const;
-    bool may_adopt(const std::string& domain, time_point now);
-    void probe_answered(const std::string& domain, order_outcome outcome, time_point now);
     void claim(const wire::shard& shard, bool after_leaving, time_point now);
     void yield(const wire::shard& shard, time_point now);
     void take_again(const wire::shard& shard, owned_shard& owned, time_point now);
@@ -162,7 +155,6 @@
     void broadcast(const wire::message& message);
     /// Cancels the job at the shards that this host owns.
     void cancel_owned(const std::string& job, time_point now);
-    void adopt(cluster_config config, time_point now);
     void hand_over(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent(time_point now);
@@ -184,15 +176,9 @@
     std::unique_ptr<job_router> router_;
     shard_plan plan_;
     std::map<wire::shard, owned_shard> owned_;
-    std::map<std::string, domain_probe> probes_; ///< by domain
-    std::shared_ptr<int> running_ =
-        std::make_shared<int>(0);                         ///< late answers to probes are ignored
+    adoption_probe probe_;
     std::map<std::string, std::uint64_t> greatest_epoch_; ///< heard of, by domain
-    std::optional<cluster_config> config_;
-    queue_index queues_;
-    std::uint64_t newest_config_ = 0; ///< version that any host has shown
-    time_point newer_heard_{};        ///< when a newer version than the own one was first shown
-    time_point config_asked_{};
+    config_state config_;
     std::uint64_t config_requests_ = 0;
     std::uint64_t fence_base_ = 0;
     time_point leaving_since_{};
