One host of a domain reads the store, and reports go where they are needed

Cause: on the large fleet every host read the heartbeats of all workers from the store twice a second (147 x 733 records a second), every owner reported to every host ten times a second, and all hosts to all others once a second. Each host also compared the candidates of all shards of all domains 16 times a second.

Ruled out by the trace: latency of the placement itself (half of the first starts after 6 ms), room, links of the large hosts.

Change: the hosts of a domain are ranked; the first reads each topic and passes on the records that matter, the next ones stand by (topic_reader). Reports follow the relation of two hosts (report_schedule): every 100 ms where one has jobs at the other and from an owner to its domain, once a second otherwise within the domain and from owners, none between hosts without shards of different domains. A host without a shard is no candidate for a shard of another domain. Claims are decided only where there may be something to decide. A new link no longer carries the list of all hosts. Older processes, which know none of this, get the reports they expect.

--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -7,29 +7,20 @@
 
 namespace {
 
-/// How a topic is read.
-struct read_plan {
-    duration wait;  ///< how long the store may hold a read that finds no new records
-    duration pause; ///< between a reply and the next read
-};
-
 /// In the order of `store_topic`. The configuration must be in force within 2 s of its publication,
 /// even if a connection goes silent. The workers are polled, since a long poll would return on
-/// every change of any worker. Every host polls them, even without a shard: a host that takes over
-/// a shard while the store is unavailable must know which workers are leaving.
-constexpr std::array<read_plan, enum_count<fleet::store_topic>> plans{{
+/// every change of any worker. Hosts without a shard follow them too: a host that takes over a
+/// shard while the store is unavailable must know which workers are leaving.
+constexpr std::array<fleet::topic_reader::plan, enum_count<fleet::store_topic>> plans{{
     {milliseconds{600}, milliseconds{0}},
     {milliseconds{0}, milliseconds{500}},
     {milliseconds{0}, milliseconds{2000}},
 }};
+/// Interval of the checks whether a read is due.
+constexpr duration read_check_interval = milliseconds{50};
 constexpr duration initial_backoff = milliseconds{100};
 constexpr duration max_backoff = milliseconds{1000};
 
-const read_plan& plan_of(fleet::store_topic topic)
-{
-    return plans[static_cast<std::size_t>(topic)];
-}
-
 } // namespace
 
 store_reader::store_reader(fleet::fleet_host& core, fleet::store_port& store,
@@ -44,14 +35,18 @@
     run_token_ = std::make_shared<int>(0);
     for (std::size_t i = 0; i < topics_.size(); ++i) {
         const auto topic = static_cast<fleet::store_topic>(i);
-        topics_[i].reset(new followed_topic{
-            topic,
-            fleet::topic_follower{
-                [this, topic](const fleet::keyed_record& record) { handle_record(topic, record); }},
-            {},
-            0});
-        read(*topics_[i]);
+        topics_[i].reset(new followed_topic{{topic, plans[i],
+                                             [this, topic](const fleet::keyed_record& record) {
+                                                 return handle_record(topic, record);
+                                             }},
+                                            0,
+                                            false});
     }
+    core_.on_store_records([this](const wire::store_records& records, time_point now) {
+        handle_passed_on(records, now);
+    });
+    read_due_topics();
+    read_timer_.every(read_check_interval, [this] { read_due_topics(); });
     announce();
     return {};
 }
@@ -59,6 +54,8 @@
 void store_reader::stop()
 {
     run_token_.reset();
+    core_.on_store_records({});
+    read_timer_.cancel();
     announce_timer_.cancel();
     for (auto& topic : topics_)
         topic.reset();
@@ -72,12 +69,23 @@
     return limit / 2 + uniform_duration(random_, limit / 2);
 }
 
+void store_reader::read_due_topics()
+{
+    const auto now = boot_clock::now();
+    const auto rank = core_.reading_rank(now);
+    for (auto& topic : topics_) {
+        if (!topic->reading && topic->reader.due(rank) <= now)
+            read(*topic);
+    }
+}
+
 void store_reader::read(followed_topic& topic)
 {
+    topic.reading = true;
     ++metrics_.counter("chivewharf_store_calls_total",
-                       "topic=\"" + std::string{to_name(topic.topic)} + '"');
+                       "topic=\"" + std::string{to_name(topic.reader.topic())} + '"');
     store_.read(
-        topic.topic, topic.follower.next(), plan_of(topic.topic).wait,
+        topic.reader.topic(), topic.reader.next(), topic.reader.wait(),
         [this, &topic, alive = std::weak_ptr<int>{run_token_}](const fleet::store_reply& reply) {
             if (!alive.expired())
                 handle_reply(topic, reply);
@@ -87,34 +95,42 @@
 void store_reader::handle_reply(followed_topic& topic, const fleet::store_reply& reply)
 {
     const auto now = boot_clock::now();
-    core_.store_answered(reply.answered, now);
+    topic.reading = false;
     if (!reply.answered) {
         if (topic.failures++ == 0)
             log_line{"store_read_failed"}
-                .add("topic", to_name(topic.topic))
+                .add("topic", to_name(topic.reader.topic()))
                 .add("why", reply.problem)
                 .write();
         ++metrics_.counter("chivewharf_store_failures_total");
-        topic.next_read.once(backoff(topic.failures), [this, &topic] { read(topic); });
+        topic.reader.read_failed(backoff(topic.failures), now);
+        // Another host may still read the topic for this one.
+        if (!topic.reader.current(now))
+            core_.store_answered(false, now);
         return;
     }
     topic.failures = 0;
-    const auto request = topic.follower.next();
-    if (reply.history_gone || (!request.newest && reply.end < request.offset)) {
-        log_line{"store_history_gone"}.add("topic", to_name(topic.topic)).write();
-        topic.follower.restart();
-        read(topic);
+    core_.store_answered(true, now);
+    for (const auto& records : topic.reader.read_answered(reply, now))
+        core_.pass_on(records);
+    note_complete(topic);
+    read_due_topics();
+}
+
+void store_reader::handle_passed_on(const wire::store_records& records, time_point now)
+{
+    if (records.topic >= topics_.size())
         return;
-    }
-    if (request.newest)
-        topic.follower.on_page(reply.records, reply.more, reply.end);
-    else
-        topic.follower.on_records(reply.records);
-    if (topic.topic == fleet::store_topic::workers && topic.follower.complete())
+    auto& topic = *topics_[records.topic];
+    topic.reader.passed_on(records, now);
+    if (topic.reader.current(now))
+        core_.store_answered(true, now);
+}
+
+void store_reader::note_complete(const followed_topic& topic)
+{
+    if (topic.reader.topic() == fleet::store_topic::workers && topic.reader.complete())
         core_.workers_complete();
-    const bool behind = topic.follower.next().newest || topic.follower.next().offset < reply.end;
-    const auto pause = behind ? duration{0} : plan_of(topic.topic).pause;
-    topic.next_read.once(pause, [this, &topic] { read(topic); });
 }
 
 void store_reader::report_bad_record(fleet::store_topic topic, const std::string& key,
@@ -129,41 +145,44 @@
         .warn();
 }
 
-void store_reader::handle_record(fleet::store_topic topic, const fleet::keyed_record& record)
+bool store_reader::handle_record(fleet::store_topic topic, const fleet::keyed_record& record)
 {
     if (record.key.empty())
-        return;
+        return false;
     const auto now = boot_clock::now();
     switch (topic) {
     case fleet::store_topic::configuration:
         if (record.value)
             core_.config_read(*record.value, now);
-        return;
-    case fleet::store_topic::workers: {
-        if (!record.value) {
-            core_.worker_unlisted(record.key, now);
-            return;
-        }
-        auto worker = decoders_.worker(record.key, *record.value);
-        if (worker)
-            core_.worker_listed(std::move(*worker));
-        else {
-            report_bad_record(topic, record.key, worker.error());
-            core_.worker_unlisted(record.key, now);
-        }
-        return;
-    }
+        return true;
+    case fleet::store_topic::workers:
+        return handle_worker(record, now);
     case fleet::store_topic::hosts: {
         if (!record.value)
-            return;
+            return false;
         const auto host = decoders_.host(record.key, *record.value);
         if (host)
             core_.host_listed(*host, now);
         else
             report_bad_record(topic, record.key, host.error());
-        return;
+        return true;
+    }
     }
+    return false;
+}
+
+bool store_reader::handle_worker(const fleet::keyed_record& record, time_point now)
+{
+    if (!record.value) {
+        core_.worker_unlisted(record.key, now);
+        return true;
     }
+    auto worker = decoders_.worker(record.key, *record.value);
+    if (worker)
+        return core_.worker_listed(std::move(*worker));
+    report_bad_record(fleet::store_topic::workers, record.key, worker.error());
+    core_.worker_unlisted(record.key, now);
+    return true;
 }
 
 void store_reader::announce()
--- a/modules/daemon/store_reader.h
+++ b/modules/daemon/store_reader.h
@@ -4,7 +4,7 @@
 #include <base/rng.h>
 #include <fleet/fleet_host.h>
 #include <fleet/ports.h>
-#include <fleet/topic_follower.h>
+#include <fleet/topic_reader.h>
 #include <functional>
 #include <memory>
 #include <metrics/registry.h>
@@ -24,8 +24,8 @@
         host;
 };
 
-/// Follows the topics of the platform's store, reports changes to the core, and publishes this
-/// host's peer address.
+/// Follows the topics of the platform's store, by reading them or through the host of the failure
+/// domain that reads them, reports changes to the core, and publishes this host's peer address.
 class store_reader final : public runtime::supervised {
 public:
     store_reader(fleet::fleet_host& core, fleet::store_port& store, record_decoders decoders,
@@ -38,16 +38,20 @@
 
 private:
     struct followed_topic {
-        fleet::store_topic topic;
-        fleet::topic_follower follower;
-        runtime::timer next_read;
+        fleet::topic_reader reader;
         std::uint32_t failures = 0;
+        bool reading = false;
     };
 
+    void read_due_topics();
     void read(followed_topic& topic);
     void handle_reply(followed_topic& topic, const fleet::store_reply& reply);
+    void handle_passed_on(const wire::store_records& records, time_point now);
+    void note_complete(const followed_topic& topic);
     void announce();
-    void handle_record(fleet::store_topic topic, const fleet::keyed_record& record);
+    /// \return true if the record has to be passed on
+    bool handle_record(fleet::store_topic topic, const fleet::keyed_record& record);
+    bool handle_worker(const fleet::keyed_record& record, time_point now);
     void report_bad_record(fleet::store_topic topic, const std::string& key,
                            const std::string& problem);
     duration backoff(std::uint32_t failures);
@@ -58,6 +62,7 @@
     metrics::registry& metrics_;
     rng random_;
     std::array<std::unique_ptr<followed_topic>, enum_count<fleet::store_topic>> topics_;
+    runtime::timer read_timer_;
     runtime::timer announce_timer_;
     std::uint32_t announce_failures_ = 0;
     std::shared_ptr<int> run_token_; ///< expires at `stop`; replies that arrive later are ignored
--- a/modules/fleet/claim_policy.h
+++ b/modules/fleet/claim_policy.h
@@ -53,6 +53,9 @@
     claim_action decide(const wire::shard& shard, const std::vector<claim_candidate>& hosts,
                         time_point now);
 
+    /// Another host owns the shard, and this host has nothing to decide about it.
+    void note_owned(const wire::shard& shard) { unowned_since_.erase(shard); }
+
     /// True if this host, which owns the shard, should offer it to another host.
     bool should_offer(const std::vector<claim_candidate>& hosts) const;
 
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -16,11 +16,13 @@
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
 #include <fleet/ports.h>
+#include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
 #include <fleet/topic_follower.h>
+#include <fleet/topic_reader.h>
 #include <fleet/types.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_directory.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -2,17 +2,15 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <fleet/report_schedule.h>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace chivewharf::fleet {
 
 namespace {
 
-/// Interval of reports to hosts that need this host's load or heartbeat.
-constexpr duration report_interval = milliseconds{100};
-/// Interval of reports to other hosts.
-constexpr duration slow_report_interval = seconds{1};
 /// Interval of the decisions about claims.
 constexpr duration claim_interval = milliseconds{60};
 /// A shard is offered to other hosts once one of them has been the better owner for this long.
@@ -31,15 +29,19 @@
 constexpr duration reclaim_delay_reset = seconds{5};
 /// Maximum time that a leaving owner waits for a successor before it stops placing tasks.
 constexpr duration max_successor_wait = seconds{1};
+/// Minimum interval between requests for the list of known hosts, which is sent as links open.
+constexpr duration min_host_list_interval = milliseconds{200};
+/// Interval of these requests otherwise, in case the store does not answer.
+constexpr duration host_list_interval = seconds{10};
 
 } // namespace
 
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
-    : self_{std::move(self)}, domains_{std::move(domains)}, worker_port_{workers}, peers_{peers},
-      metrics_{metrics}, decode_{std::move(decode)}, policy_{self_.host, now}, probe_{workers,
-                                                                                      workers_}
+    : self_{std::move(self)}, domains_{std::move(domains)},
+      worker_port_{workers}, peers_{peers}, metrics_{metrics}, decode_{std::move(decode)},
+      directory_{self_.domain}, policy_{self_.host, now}, probe_{workers, workers_}
 {
     router_ = std::make_unique<job_router>(
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
@@ -75,7 +77,11 @@
         .add("queues", std::uint64_t{config()->queues.size()})
         .write();
     metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_.version());
-    send_report(now);
+    const auto current = report(now);
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (host.linked && directory_.same_domain(host))
+            send_report(name, current, now);
+    }
 }
 
 void fleet_host::fetch_config(time_point now)
@@ -121,9 +127,9 @@
         .add("domain", domain)
         .add("life", incarnation)
         .write();
-    auto records = directory_.records();
-    records.push_back({self_.host, self_.domain, self_.address});
-    peers_.send(host, wire::host_records{std::move(records)});
+    peers_.send(host, wire::host_records{{{self_.host, self_.domain, self_.address}}});
+    if (now - host_list_requested_ >= min_host_list_interval)
+        request_host_list(host, now);
     peers_.send(host, report(now));
     router_->host_reconnected(host, incarnation, now);
 }
@@ -209,9 +215,56 @@
         }
     }
     else if (const auto* records = std::get_if<wire::host_records>(&message)) {
+        if (records->hosts.empty())
+            peers_.send(host, wire::host_records{directory_.records()});
         for (const auto& one : records->hosts)
             host_listed(one, now);
     }
+    else if (const auto* read = std::get_if<wire::store_records>(&message)) {
+        if (store_records_handler_)
+            store_records_handler_(*read, now);
+    }
+}
+
+void fleet_host::request_host_list(const std::string& host, time_point now)
+{
+    host_list_requested_ = now;
+    peers_.send(host, wire::host_records{});
+}
+
+void fleet_host::request_host_list(time_point now)
+{
+    if (now - host_list_requested_ < host_list_interval)
+        return;
+    std::vector<std::string> linked;
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (host.linked)
+            linked.push_back(name);
+    }
+    if (!linked.empty())
+        request_host_list(linked[host_list_requests_++ % linked.size()], now);
+}
+
+std::size_t fleet_host::reading_rank(time_point now) const
+{
+    const auto& hosts = directory_.hosts();
+    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& one) {
+        const auto& [name, host] = one;
+        if (!directory_.same_domain(host) || !host.linked || !directory_.alive(host, now) ||
+            !host.report->accepts_store_records || host.report->leaving)
+            return false;
+        return std::tuple{host.report->processor_milli, self_.host} >
+               std::tuple{self_.processor_milli, name};
+    }));
+}
+
+void fleet_host::pass_on(const wire::store_records& records)
+{
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (host.linked && directory_.same_domain(host) && host.report &&
+            host.report->accepts_store_records)
+            peers_.send(name, records);
+    }
 }
 
 rejection fleet_host::reject(rejection reason, const std::string& job, time_point now)
@@ -306,12 +359,14 @@
 
 std::vector<claim_candidate> fleet_host::candidates(const wire::shard& shard, time_point now) const
 {
+    // Of other domains, hosts without a shard are no candidates: they do not report to each other,
+    // so that each of them would take itself for the first.
     std::vector<claim_candidate> all;
     const auto mine = owned_.find(shard);
     claim_candidate self;
     self.host = self_.host;
     self.home = self_.domain == shard.domain;
-    self.can_claim = can_claim(now);
+    self.can_claim = can_claim(now) && (self.home || !owned_.empty());
     self.leaving = leaving_ || (mine != owned_.end() && mine->second.offered_at);
     self.fence_base = fence_base_;
     self.epoch = mine == owned_.end() ? 0 : mine->second.epoch;
@@ -324,7 +379,7 @@
         claim_candidate candidate;
         candidate.host = name;
         candidate.home = host.record.domain == shard.domain;
-        candidate.can_claim = host.report->able;
+        candidate.can_claim = host.report->able && (candidate.home || host.owns());
         candidate.leaving = host.report->leaving;
         candidate.fence_base = host.report->fence_base;
         candidate.owned = host.report->claims.size();
@@ -466,12 +521,35 @@
     owned.owner->predecessor_gone(now);
 }
 
+std::set<wire::shard> fleet_host::settled_shards(time_point now) const
+{
+    std::set<wire::shard> settled;
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (!host.owns() || !directory_.alive(host, now) || host.report->leaving)
+            continue;
+        for (const auto& claim : host.report->claims) {
+            const bool home = host.record.domain == claim.shard.domain;
+            if (!claim.leaving && (home || claim.shard.domain != self_.domain) &&
+                !owned_.contains(claim.shard))
+                settled.insert(claim.shard);
+        }
+    }
+    return settled;
+}
+
 void fleet_host::check_claims(time_point now)
 {
     yield_outdated_shards(now);
+    // The candidates of every shard are compared only where there may be something to decide: the
+    // effort grows with the number of shards times the number of hosts.
+    const auto settled = settled_shards(now);
     for (const auto& domain : domains_) {
-        for (const auto& shard : plan_.shards_of(domain))
-            check_claim(shard, now);
+        for (const auto& shard : plan_.shards_of(domain)) {
+            if (settled.contains(shard))
+                policy_.note_owned(shard);
+            else
+                check_claim(shard, now);
+        }
     }
     for (auto& [shard, owned] : owned_) {
         if (owned.fenced_at && !leaving_)
@@ -520,6 +598,7 @@
     current.able = can_claim(now) && !leaving_;
     current.processor_milli = self_.processor_milli;
     current.domains = plan_.all();
+    current.accepts_store_records = true;
     for (const auto& [shard, owned] : owned_)
         current.claims.push_back({shard, owned.epoch, owned.owner->takeover_complete(),
                                   owned.owner->free_milli(),
@@ -528,30 +607,36 @@
     return current;
 }
 
+void fleet_host::send_report(const std::string& host, const wire::host_report& current,
+                             time_point now)
+{
+    directory_.report_sent(host, now);
+    peers_.send(host, current);
+}
+
 void fleet_host::send_report(time_point now)
 {
     const auto current = report(now);
     for (const auto& [name, host] : directory_.hosts()) {
-        if (!host.linked)
-            continue;
-        directory_.report_sent(name, now);
-        peers_.send(name, current);
+        if (host.linked)
+            send_report(name, current, now);
     }
 }
 
 void fleet_host::send_due_reports(time_point now)
 {
-    const auto owners = router_->owners_with_jobs();
     std::optional<wire::host_report> current;
     for (const auto& [name, host] : directory_.hosts()) {
-        const bool often = !owned_.empty() || owners.contains(name);
-        if (!host.linked ||
-            now - host.last_report_sent < (often ? report_interval : slow_report_interval))
+        // Hosts that do not pass on store records yet expect all reports of an owner at the short
+        // interval.
+        const bool older = host.report && !host.report->accepts_store_records;
+        const auto interval = report_interval(
+            {directory_.same_domain(host) || older, !owned_.empty(), host.shares_jobs()});
+        if (!host.linked || !interval || now - host.last_report_sent < *interval)
             continue;
         if (!current)
             current = report(now);
-        directory_.report_sent(name, now);
-        peers_.send(name, *current);
+        send_report(name, *current, now);
     }
 }
 
@@ -561,6 +646,7 @@
     for (const auto& [shard, owned] : owned_)
         owned.owner->collect_requesters(requesters);
     directory_.set_requesters(requesters);
+    directory_.set_owners_with_jobs(router_->owners_with_jobs(), now);
     std::vector<std::string> silent;
     for (const auto& [name, host] : directory_.hosts()) {
         if (directory_.silent(host, now))
@@ -584,6 +670,7 @@
             owned.owner->update_workers(list, now);
     }
     fetch_config(now);
+    request_host_list(now);
     if (now >= next_claim_check_) {
         next_claim_check_ = now + claim_interval;
         check_claims(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <metrics/registry.h>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,13 +71,24 @@
     void fence_base_granted(std::uint64_t number);
     /// Applies a record of the configuration. An unreadable or older one is ignored.
     void config_read(const std::string& record, time_point now);
-    void worker_listed(worker_entry entry) { workers_.put(std::move(entry)); }
+    /// \return true if the worker differs from the known one
+    bool worker_listed(worker_entry entry) { return workers_.put(std::move(entry)); }
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
     /// Every listed worker has been read at least once: this host may claim shards.
     void workers_complete() { workers_complete_ = true; }
     void host_listed(const wire::host_record& record, time_point now);
     void store_answered(bool answered, time_point now) { workers_.store_answered(answered, now); }
 
+    /// Number of hosts of the domain that read the store before this one.
+    std::size_t reading_rank(time_point now) const;
+    /// Sends records of the store to the other hosts of the domain.
+    void pass_on(const wire::store_records& records);
+    /// Sets the receiver of records that another host has read and passed on.
+    void on_store_records(std::function<void(const wire::store_records&, time_point)> handler)
+    {
+        store_records_handler_ = std::move(handler);
+    }
+
     // From other hosts.
 
     void peer_linked(const std::string& host, const std::string& domain, std::uint64_t incarnation,
@@ -139,6 +151,8 @@
 
     std::vector<owner_view> owners(time_point now) const;
     void check_claims(time_point now);
+    /// Shards of other owners about which this host has nothing to decide.
+    std::set<wire::shard> settled_shards(time_point now) const;
     void check_claim(const wire::shard& shard, time_point now);
     void check_predecessor(const wire::shard& shard, owned_shard& owned, time_point now);
     void yield_outdated_shards(time_point now);
@@ -153,7 +167,10 @@
     void send_to_owner(const std::string& host, const wire::message& message, time_point now);
     void handle_order(const std::string& from, const wire::job_order& order, time_point now);
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
+    void send_report(const std::string& host, const wire::host_report& current, time_point now);
     void send_report(time_point now);
+    void request_host_list(const std::string& host, time_point now);
+    void request_host_list(time_point now);
     void send_due_reports(time_point now);
     void fetch_config(time_point now);
     void broadcast(const wire::message& message);
@@ -183,7 +200,10 @@
     adoption_probe probe_;
     std::map<std::string, std::uint64_t> max_epoch_; ///< highest known epoch, by domain
     config_state config_;
+    std::function<void(const wire::store_records&, time_point)> store_records_handler_;
     std::uint64_t config_requests_ = 0;
+    std::uint64_t host_list_requests_ = 0;
+    time_point host_list_requested_{};
     std::uint64_t fence_base_ = 0;
     time_point leaving_since_{};
     time_point next_claim_check_{};
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -1,5 +1,8 @@
 #include <fleet/host_directory.h>
 
+#include <algorithm>
+#include <fleet/report_schedule.h>
+
 namespace chivewharf::fleet {
 
 bool host_directory::learn(const wire::host_record& record, time_point now)
@@ -66,19 +69,37 @@
         host.has_jobs_here = hosts.contains(name);
 }
 
+void host_directory::set_owners_with_jobs(const std::set<std::string>& hosts, time_point now)
+{
+    for (auto& [name, host] : hosts_) {
+        if (!hosts.contains(name))
+            host.jobs_there_since.reset();
+        else if (!host.jobs_there_since)
+            host.jobs_there_since = now;
+    }
+}
+
+std::optional<duration> host_directory::expected_silence(const host_view& host) const
+{
+    return silence_limit({same_domain(host), host.owns(), host.shares_jobs()});
+}
+
 bool host_directory::silent(const host_view& host, time_point now) const
 {
-    const auto limit = host.reports_often() ? silence_limit : long_silence_limit;
-    return host.linked && now - host.last_heard > limit;
+    const auto limit = expected_silence(host);
+    // The first job changes the interval at which an owner reports.
+    const auto heard = std::max(host.last_heard, host.jobs_there_since.value_or(time_point{}));
+    return host.linked && limit && now - heard > *limit;
 }
 
 bool host_directory::alive(const host_view& host, time_point now) const
 {
     if (!host.report)
         return false;
-    if (host.linked)
-        return !silent(host, now);
-    return now - host.link_changed < reconnect_grace;
+    if (!host.linked)
+        return now - host.link_changed < reconnect_grace;
+    return !silent(host, now) &&
+           (expected_silence(host) || now - host.last_heard <= long_silence_limit);
 }
 
 const host_view* host_directory::find(const std::string& host) const
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -16,23 +16,22 @@
     wire::host_record record;
     std::uint64_t incarnation = 0; ///< random number of its process; 0 until it was linked
     bool linked = false;
-    time_point link_changed{};     ///< when `linked` changed
-    time_point last_heard{};       ///< when the last message arrived
-    time_point last_report_sent{}; ///< when the last report was sent there
-    bool has_jobs_here = false;    ///< it waits for results of this host's shards
+    time_point link_changed{};                  ///< when `linked` changed
+    time_point last_heard{};                    ///< when the last message arrived
+    time_point last_report_sent{};              ///< when the last report was sent there
+    bool has_jobs_here = false;                 ///< it waits for results of this host's shards
+    std::optional<time_point> jobs_there_since; ///< since when this host has jobs at it
     std::optional<wire::host_report> report;
 
-    /// True if the host reports at short intervals: it owns shards, or has jobs here.
-    bool reports_often() const { return has_jobs_here || (report && !report->claims.empty()); }
+    /// True if the host owns a shard.
+    bool owns() const { return report && !report->claims.empty(); }
+    /// True if one of the two hosts has jobs at the other.
+    bool shares_jobs() const { return has_jobs_here || jobs_there_since; }
 };
 
 /// The known entry hosts, whether they are alive, and their last reports.
 class host_directory {
 public:
-    /// A host that reports often counts as dead if its last message is older than this.
-    static constexpr duration silence_limit = milliseconds{500};
-    /// The same for other hosts.
-    static constexpr duration long_silence_limit = milliseconds{2500};
     /// A host whose link has just broken counts as alive for this long, since both hosts may be
     /// alive.
     static constexpr duration reconnect_grace = milliseconds{120};
@@ -40,6 +39,9 @@
     /// back.
     static constexpr duration forget_after = seconds{60};
 
+    /// \param domain failure domain of this host
+    explicit host_directory(std::string domain) : domain_{std::move(domain)} {}
+
     /// Adds or updates a host's record.
     /// \return true if the host is new or its record has changed
     bool learn(const wire::host_record& record, time_point now);
@@ -58,9 +60,16 @@
     /// Replaces the hosts that wait for results of this host's shards.
     void set_requesters(const std::set<std::string>& hosts);
 
+    /// Replaces the hosts that this host waits for results from.
+    void set_owners_with_jobs(const std::set<std::string>& hosts, time_point now);
+
+    bool same_domain(const host_view& host) const { return host.record.domain == domain_; }
+
+    /// True if the host has reported and has not been silent for too long.
     bool alive(const host_view& host, time_point now) const;
 
-    /// True if the host is linked and has been silent for too long.
+    /// True if the host is linked, is expected to report regularly, and has been silent for too
+    /// long.
     bool silent(const host_view& host, time_point now) const;
 
     /// The host; null if it is not known.
@@ -73,6 +82,9 @@
     std::vector<wire::host_record> records() const;
 
 private:
+    std::optional<duration> expected_silence(const host_view& host) const;
+
+    std::string domain_;
     std::map<std::string, host_view> hosts_;
 };
 
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
-#include <fleet/host_directory.h>
+#include <fleet/report_schedule.h>
 #include <fleet/shard_plan.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_session.h>
@@ -15,8 +15,8 @@
 /// After this time without a link, no task of a lost owner runs any more. It is the sum of the time
 /// in which the owner notices the loss, the time for which it waits for the link before it stops
 /// the job, the lease after which a worker ends the tasks of a dead owner, and a margin.
-constexpr duration lost_owner_time_limit = host_directory::silence_limit + milliseconds{300} +
-                                           worker_session::max_lease + milliseconds{100};
+constexpr duration lost_owner_time_limit =
+    short_silence_limit + milliseconds{300} + worker_session::max_lease + milliseconds{100};
 /// After this time, all tasks of an owner that has given up its claim have ended: the lease and a
 /// margin.
 constexpr duration abandoned_task_time_limit = worker_session::max_lease + milliseconds{100};
--- a/modules/fleet/topic_follower.cpp
+++ b/modules/fleet/topic_follower.cpp
@@ -1,5 +1,6 @@
 #include <fleet/topic_follower.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace chivewharf::fleet {
@@ -47,11 +48,16 @@
 void topic_follower::on_records(const std::vector<keyed_record>& records)
 {
     for (const auto& record : records) {
-        next_.offset = record.offset + 1;
+        advance(record.offset + 1);
         apply(record);
     }
 }
 
+void topic_follower::advance(std::uint64_t offset)
+{
+    next_.offset = std::max(next_.offset, offset);
+}
+
 void topic_follower::restart()
 {
     next_ = {};
--- a/modules/fleet/topic_follower.h
+++ b/modules/fleet/topic_follower.h
@@ -45,9 +45,12 @@
     /// pages follow.
     void on_page(const std::vector<keyed_record>& records, bool more, std::uint64_t end);
 
-    /// Processes records from `next().offset` on.
+    /// Processes records from `next().offset` on. Earlier ones among them are ignored.
     void on_records(const std::vector<keyed_record>& records);
 
+    /// Skips to an offset, because all records before it are known.
+    void advance(std::uint64_t offset);
+
     /// Starts over, because the records from `next().offset` on have been deleted or the topic ends
     /// before that offset.
     void restart();
--- a/modules/fleet/worker_directory.cpp
+++ b/modules/fleet/worker_directory.cpp
@@ -6,11 +6,11 @@
 
 namespace chivewharf::fleet {
 
-void worker_directory::put(worker_entry entry)
+bool worker_directory::put(worker_entry entry)
 {
     auto& listing = entries_[entry.id];
     if (listing.entry == entry && !listing.missing_since)
-        return;
+        return false;
     listing.entry = std::move(entry);
     listing.missing_since.reset();
     changed_ = true;
@@ -22,6 +22,7 @@
         .add("leaving", listing.entry.leaving ? "true" : "false")
         .add("life", listing.entry.incarnation)
         .write();
+    return true;
 }
 
 void worker_directory::remove(const std::string& id, time_point now)
--- a/modules/fleet/worker_directory.h
+++ b/modules/fleet/worker_directory.h
@@ -17,7 +17,8 @@
     static constexpr duration removal_grace = milliseconds{2500};
 
     /// Adds or replaces an entry.
-    void put(worker_entry entry);
+    /// \return true if it differs from the known one
+    bool put(worker_entry entry);
 
     /// The entry has vanished from the store.
     void remove(const std::string& id, time_point now);
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -225,7 +225,7 @@
         domains.push_back(fbs::Createdomain_shards(b, text(b, known.domain), known.count));
     return fbs::Createhost_report(b, m.fence_base, m.known_config, m.leaving, m.able,
                                   b.CreateVector(claims), m.processor_milli,
-                                  b.CreateVector(domains));
+                                  b.CreateVector(domains), m.accepts_store_records);
 }
 
 auto write(FlatBufferBuilder& b, const host_records& m)
@@ -243,6 +243,16 @@
     return fbs::Createworker_release(b, text(b, m.domain), text(b, m.worker));
 }
 
+auto write(FlatBufferBuilder& b, const store_records& m)
+{
+    std::vector<Offset<fbs::store_record>> records;
+    records.reserve(m.records.size());
+    for (const auto& record : m.records)
+        records.push_back(fbs::Createstore_record(b, text(b, record.key), record.offset,
+                                                  record.deleted, bytes(b, record.value)));
+    return fbs::Createstore_records(b, m.topic, m.begin, m.end, b.CreateVector(records));
+}
+
 // Decoding: `read` has one overload per table, `read_field` one per field type. They return false
 // if a field is missing or out of range.
 
@@ -564,6 +574,7 @@
     m.leaving = t.leaving();
     m.able = t.able();
     m.processor_milli = t.processor_milli();
+    m.accepts_store_records = t.accepts_store_records();
     if (t.claims() == nullptr || t.domains() == nullptr || t.claims()->size() > max_claims ||
         t.domains()->size() > max_claims)
         return false;
@@ -607,6 +618,25 @@
     return read_field(m.domain, t.domain()) && read_field(m.worker, t.worker());
 }
 
+bool read(store_records& m, const fbs::store_records& t)
+{
+    m.topic = t.topic();
+    m.begin = t.begin();
+    m.end = t.end();
+    if (t.records() == nullptr)
+        return true;
+    if (t.records()->size() > max_store_records)
+        return false;
+    for (const auto* table : *t.records()) {
+        auto& record = m.records.emplace_back();
+        record.offset = table->offset();
+        record.deleted = table->deleted();
+        if (!read_field(record.key, table->key()) || !read_field(record.value, table->value()))
+            return false;
+    }
+    return true;
+}
+
 using decoded = result<message, wire_error>;
 
 template <class Message, class Table>
@@ -652,6 +682,7 @@
     read_as<host_report, fbs::host_report>,
     read_as<host_records, fbs::host_records>,
     read_as<worker_release, fbs::worker_release>,
+    read_as<store_records, fbs::store_records>,
 };
 static_assert(static_cast<std::size_t>(fbs::body::MAX) == table_readers.size());
 
--- a/modules/wire/messages.cpp
+++ b/modules/wire/messages.cpp
@@ -11,7 +11,7 @@
     "slot_return",    "promise_request", "promise",       "handover_records", "config_version",
     "config_request", "config_record",   "spill_task",    "spill_answer",     "load_report",
     "job_order",      "job_result",      "job_cancel",    "host_report",      "host_records",
-    "worker_release"};
+    "worker_release", "store_records"};
 
 } // namespace
 
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -350,6 +350,7 @@
     std::vector<shard_claim> claims;
     std::uint32_t processor_milli = 0; ///< CPU available to the host, thousandths of a core
     std::vector<domain_shards> domains;
+    bool accepts_store_records = false; ///< the host accepts `store_records`
     bool operator==(const host_report&) const = default;
 };
 
@@ -361,7 +362,7 @@
     bool operator==(const host_record&) const = default;
 };
 
-/// Hosts that the sender knows.
+/// Hosts that the sender knows. An empty list asks the receiver for its own list.
 struct host_records {
     std::vector<host_record> hosts;
     bool operator==(const host_records&) const = default;
@@ -374,12 +375,33 @@
     bool operator==(const worker_release&) const = default;
 };
 
+/// A record of a compacted topic of the platform's store.
+struct store_record {
+    std::string key;
+    std::uint64_t offset = 0;
+    bool deleted = false; ///< the key was deleted; there is no value
+    std::string value;
+    bool operator==(const store_record&) const = default;
+};
+
+/// Sent by the host that reads a topic of the platform's store for its failure domain: the records
+/// with offsets from `begin` up to, but not including, `end`. Records that do not change what a
+/// host knows are left out, so that the list may be empty.
+struct store_records {
+    std::uint8_t topic = 0; ///< `fleet::store_topic`
+    std::uint64_t begin = 0;
+    std::uint64_t end = 0;
+    std::vector<store_record> records;
+    bool operator==(const store_records&) const = default;
+};
+
 /// Any message between entry hosts.
-using message = std::variant<hello, proof, ping, forward, forward_answer, heartbeat, member_report,
-                             usage_average, slot_request, slot_grant, slot_return, promise_request,
-                             promise, handover_records, config_version, config_request,
-                             config_record, spill_task, spill_answer, load_report, job_order,
-                             job_result, job_cancel, host_report, host_records, worker_release>;
+using message =
+    std::variant<hello, proof, ping, forward, forward_answer, heartbeat, member_report,
+                 usage_average, slot_request, slot_grant, slot_return, promise_request, promise,
+                 handover_records, config_version, config_request, config_record, spill_task,
+                 spill_answer, load_report, job_order, job_result, job_cancel, host_report,
+                 host_records, worker_release, store_records>;
 
 /// Name of the message type, for logs and metrics.
 std::string_view name_of(const message& m);
