--- a/modules/daemon/platform_gateway.cpp
+++ b/modules/daemon/platform_gateway.cpp
@@ -233,31 +233,28 @@
             report_hosts(wall_now_ms());
             return;
         }
-        const auto response = parse_response(result);
-        if (!response.is_object() || !response.contains("hosts") || !response["hosts"].is_array()) {
+        const bool listed = result.outcome == call_outcome::answered && result.status == 200;
+        const auto list = decode_host_list(listed ? result.body : std::string{});
+        if (!list) {
             ++host_poll_failures_;
             return;
         }
         hosts_etag_ = result.header("ETag");
-        handle_host_list(response);
+        handle_host_list(*list);
     });
 }
 
-void platform_gateway::handle_host_list(const json& response)
+void platform_gateway::handle_host_list(const host_list& list)
 {
     listed_workers_.workers.clear();
     listed_hosts_.clear();
-    for (const auto& host : response["hosts"]) {
-        if (!host.is_object())
-            continue;
-        const auto name = host.value("name", "");
-        const auto role = host.value("role", "");
-        if (role == "worker")
-            listed_workers_.workers.push_back({name, host.value("state", "") == "leaving"});
-        else if (role == "entry" && name != loop_.core().self().host)
-            listed_hosts_.push_back({host.value("domain", ""), name, host.value("address", "")});
+    for (const auto& host : list.hosts) {
+        if (host.role == "worker")
+            listed_workers_.workers.push_back({host.name, host.state == "leaving"});
+        else if (host.role == "entry" && host.name != loop_.core().self().host)
+            listed_hosts_.push_back({host.domain, host.name, host.address});
     }
-    report_hosts(response.value("as_of_ms", wall_now_ms()));
+    report_hosts(list.as_of.value_or(wall_now_ms()));
 }
 
 void platform_gateway::report_hosts(wall_ms as_of)
--- a/modules/daemon/platform_gateway.h
+++ b/modules/daemon/platform_gateway.h
@@ -3,6 +3,7 @@
 #include <base/rng.h>
 #include <configlog/append_budget.h>
 #include <daemon/core_loop.h>
+#include <daemon/host_list.h>
 #include <deque>
 #include <memory>
 #include <metrics/registry.h>
@@ -59,7 +60,7 @@
     void handle_config_records(const nlohmann::json& response, std::uint64_t from,
                                time_point asked_at);
     void poll_hosts();
-    void handle_host_list(const nlohmann::json& response);
+    void handle_host_list(const host_list& list);
     void report_hosts(wall_ms as_of);
     void send_appends();
     void append_ended(const dispatch::append_record& record, const runtime::call_result& result);
