An owner starts nothing for requesters that may have given it up

An owner was frozen for 3 s. Its requester dropped the link, waited for the lease and sent the job to another owner. The owner woke, found the task's lease over, and started it again 190 ms later, in the 300 ms for which it waits for a lost requester; it stopped the task after that.

Ruled out: late orders (the start was ordered after the pause) and a missing fence (the successor had not reached that worker).

Change: nothing is started for a job whose requester is lost. A process that was paused for over 400 ms starts nothing before its next tick, and that tick closes the links to all hosts that share jobs with it, since messages from during the pause say nothing about now; new links show who still counts on it. The time after which a lost owner's tasks have ended includes that pause. A worker that is first listed during a hand-over is acquired only after its release, and a job stands once in the owner's queue.

Result: job_without_a_requester_is_not_started and nothing_is_started_between_a_pause_and_the_next_tick fail without the change.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -658,8 +658,26 @@
     }
 }
 
+void fleet_host::drop_links_after_pause(time_point now)
+{
+    const auto former = std::exchange(last_tick_, now);
+    if (former == time_point{} || now - former <= shard_owner::max_pause)
+        return;
+    // The messages that have arrived meanwhile make their senders look alive, but these may have
+    // given up this host. New links show which of them still count on it.
+    log_line{"paused"}.add("for_ms", to_ms(now - former)).write();
+    std::vector<std::string> partners;
+    for (const auto& [name, host] : directory_.hosts()) {
+        if (host.linked && host.shares_jobs())
+            partners.push_back(name);
+    }
+    for (const auto& name : partners)
+        peers_.drop(name);
+}
+
 void fleet_host::tick(time_point now)
 {
+    drop_links_after_pause(now);
     drop_silent_hosts(now);
     directory_.expire(now);
     if (workers_.refresh(now)) {
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -179,6 +179,8 @@
     void hand_over(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent_hosts(time_point now);
+    /// After a pause of this process, closes the links to hosts that share jobs with it.
+    void drop_links_after_pause(time_point now);
     bool can_claim(time_point now) const
     {
         return config_current(now) && workers_complete_ && fence_base_ != 0;
@@ -207,6 +209,7 @@
     std::uint64_t fence_base_ = 0;
     time_point leaving_since_{};
     time_point next_claim_check_{};
+    time_point last_tick_{};
     bool workers_complete_ = false;
     bool leaving_ = false;
 };
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <fleet/report_schedule.h>
+#include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_session.h>
@@ -13,10 +14,12 @@
 namespace {
 
 /// After this time without a link, no task of a lost owner runs any more. It is the sum of the time
-/// in which the owner notices the loss, the time for which it waits for the link before it stops
-/// the job, the lease after which a worker ends the tasks of a dead owner, and a margin.
-constexpr duration lost_owner_time_limit =
-    short_silence_limit + milliseconds{300} + worker_session::max_lease + milliseconds{100};
+/// in which the owner notices the loss, the longest pause that it does not notice, the time for
+/// which it waits for the link before it stops the job, the lease after which a worker ends the
+/// tasks of a dead owner, and a margin.
+constexpr duration lost_owner_time_limit = short_silence_limit + shard_owner::max_pause +
+                                           shard_owner::orphan_grace + worker_session::max_lease +
+                                           milliseconds{100};
 /// After this time, all tasks of an owner that has given up its claim have ended: the lease and a
 /// margin.
 constexpr duration abandoned_task_time_limit = worker_session::max_lease + milliseconds{100};
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -74,6 +74,7 @@
     time_point arrived; ///< when the host that the caller reached received it
     time_point deadline;
     std::vector<step_run> steps;
+    bool waits = false;                       ///< it is in the owner's queue
     bool started = false;                     ///< the start of a task was ordered
     std::optional<time_point> orphaned_since; ///< when the link to the requester was lost
 };
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// A job is stopped this long after the link to its requester was lost. A requester that
-/// is still alive restores the link and sends the job again sooner; if it has died, the caller
-/// submits the job again later.
-constexpr duration orphan_grace = milliseconds{300};
 constexpr duration progress_check_interval = milliseconds{50};
 /// A run counts as hanging if its projected run time is this many times the expected one.
 constexpr double hanging_factor = 3.0;
@@ -51,6 +47,7 @@
 {
     token_ = token;
     suspended_ = false;
+    predecessor_leaving_ = wait_for_release;
     for (auto& [id, worker] : workers_) {
         worker.held_by_predecessor = wait_for_release;
         if (!wait_for_release)
@@ -69,6 +66,7 @@
 
 void shard_owner::predecessor_gone(time_point now)
 {
+    predecessor_leaving_ = false;
     for (auto& [id, worker] : workers_) {
         if (!std::exchange(worker.held_by_predecessor, false))
             continue;
@@ -81,7 +79,10 @@
     managed_worker added;
     added.session = std::make_shared<worker_session>(entry, port_, *this);
     auto& worker = workers_.insert_or_assign(entry.id, std::move(added)).first->second;
-    if (token_ != 0 && !leaving_)
+    // The leaving predecessor may have started tasks on a new worker too. Acquiring it would take
+    // the worker away from them and make the predecessor give up all its jobs.
+    worker.held_by_predecessor = predecessor_leaving_;
+    if (token_ != 0 && !leaving_ && !predecessor_leaving_)
         worker.session->acquire(token_, now);
 }
 
@@ -190,9 +191,11 @@
            model_.nominal(job.order.queue, job.critical_path_estimate());
 }
 
-void shard_owner::enqueue(const job_run& job)
+void shard_owner::enqueue(job_run& job)
 {
-    if (job.placeable() > 0)
+    // The latest start changes as run times are learned, so it does not tell whether the job is in
+    // the queue already.
+    if (job.placeable() > 0 && !std::exchange(job.waits, true))
         waiting_.insert({latest_start(job), job.order.job});
 }
 
@@ -247,7 +250,10 @@
 
 void shard_owner::schedule(time_point now)
 {
-    if (scheduling_ || leaving_ || suspended_)
+    // After a pause of the process, its requesters may have sent their jobs elsewhere. The next
+    // tick finds out before anything is started.
+    const bool paused = last_tick_ != time_point{} && now - last_tick_ > max_pause;
+    if (scheduling_ || leaving_ || suspended_ || paused)
         return;
     scheduling_ = true;
     // By service: processor demand for which no worker was found. Demands that are at least as
@@ -255,6 +261,10 @@
     std::map<std::string, std::int64_t> blocked;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         auto& job = *jobs_.at(it->job);
+        if (job.orphaned_since) {
+            ++it;
+            continue;
+        }
         const auto smallest = std::min_element(
             job.order.steps.begin(), job.order.steps.end(),
             [](const auto& a, const auto& b) { return a.cpu_milli < b.cpu_milli; });
@@ -264,6 +274,7 @@
             continue;
         }
         if (place(job, now)) {
+            job.waits = false;
             it = waiting_.erase(it);
             continue;
         }
@@ -737,6 +748,7 @@
 
 void shard_owner::tick(time_point now)
 {
+    last_tick_ = now;
     for (auto& [id, worker] : workers_)
         worker.session->tick(now);
     check_deadlines(now);
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -25,6 +25,13 @@
 /// jobs that hosts send, retries them where that is allowed, and reports results.
 class shard_owner final : public session_observer {
 public:
+    /// A job is stopped this long after the link to its requester was lost; until then, none of its
+    /// tasks is started. A requester that is still alive restores the link and sends the job again
+    /// sooner; if it has died, the caller submits the job again later.
+    static constexpr duration orphan_grace = milliseconds{300};
+    /// If the process was paused for longer than this, its requesters may have given it up.
+    static constexpr duration max_pause = milliseconds{400};
+
     struct callbacks {
         /// The result of a job, for the host that sent it.
         std::function<void(const std::string& host, const wire::job_result& result, time_point now)>
@@ -132,7 +139,7 @@
     time_point objective(const job_run& job) const;
     /// Latest start at which the job is expected to meet its objective and its deadline.
     time_point latest_start(const job_run& job) const;
-    void enqueue(const job_run& job);
+    void enqueue(job_run& job);
     void schedule(time_point now);
     bool place(job_run& job, time_point now);
     bool place_gang(job_run& job, std::size_t step, time_point now);
@@ -172,7 +179,9 @@
     std::map<std::string, std::string> lingering_tasks_; ///< worker by task
     std::uint64_t token_ = 0;
     time_point next_progress_check_{};
+    time_point last_tick_{};
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
+    bool predecessor_leaving_ = false; ///< a predecessor still releases its workers
     bool leaving_ = false;
     bool scheduling_ = false;
 };
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -119,6 +119,86 @@
     return one;
 }
 
+// Guards against a hand-over that interrupts the predecessor's jobs: a worker that is first listed
+// during it may already run tasks of the predecessor.
+TEST(shard_owner, new_worker_is_acquired_only_after_the_predecessor_has_released_it)
+{
+    owner_fixture fixture;
+    auto entry = worker("a", 64000);
+    entry.domain = "d";
+    fixture.owner.acquire_workers(1, true, start);
+    fixture.owner.update_workers({entry}, start);
+    fixture.owner.tick(start + milliseconds{20});
+    EXPECT_TRUE(fixture.port.polls.empty());
+    EXPECT_FALSE(fixture.owner.takeover_complete());
+    fixture.owner.worker_released("a", start + milliseconds{40});
+    EXPECT_EQ(fixture.port.polls.size(), 1U);
+}
+
+// The same if the predecessor ends without having known the worker.
+TEST(shard_owner, new_worker_is_acquired_once_the_predecessor_is_gone)
+{
+    owner_fixture fixture;
+    auto entry = worker("a", 64000);
+    entry.domain = "d";
+    fixture.owner.acquire_workers(1, true, start);
+    fixture.owner.update_workers({entry}, start);
+    fixture.owner.predecessor_gone(start + milliseconds{40});
+    EXPECT_EQ(fixture.port.polls.size(), 1U);
+}
+
+/// Reports to the owner that the worker runs nothing any more, and that its leases are over.
+void answer_poll_without_tasks(owner_fixture& fixture, time_point now)
+{
+    status_reply reply;
+    reply.clock_ms = 100000;
+    reply.incarnation = 1;
+    fixture.port.answer_poll(reply, now);
+}
+
+/// An owner with two workers that has started a job of one task for the host "h".
+struct started_job : owner_fixture {
+    started_job()
+    {
+        add_workers({worker("a", 64000), worker("b", 64000)});
+        owner.tick(start);
+        owner.submit(order("j", {step(1, 1000)}), "h", start);
+        order_reply accepted;
+        accepted.outcome = order_outcome::accepted;
+        accepted.received = start; // before the next status poll is sent
+        port.starts.at(0).reply(accepted);
+    }
+};
+
+// Guards against a task that runs twice after its owner was paused: the requester had sent the job
+// to another owner, and this one started it again in the time for which it waits for the lost link.
+TEST(shard_owner, job_without_a_requester_is_not_started)
+{
+    started_job fixture;
+    const auto now = start + milliseconds{100};
+    fixture.owner.tick(now);
+    fixture.owner.requester_lost("h", now);
+    answer_poll_without_tasks(fixture, now + milliseconds{10}); // the task has ended as lapsed
+    fixture.owner.tick(now + milliseconds{20});
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+    // The requester still counts on this owner.
+    fixture.owner.submit(fixture.order("j", {step(1, 1000)}), "h", now + milliseconds{30});
+    fixture.owner.tick(now + milliseconds{40});
+    EXPECT_EQ(fixture.port.starts.size(), 2U);
+}
+
+// The same if the reply of a worker is processed before the process notices its pause.
+TEST(shard_owner, nothing_is_started_between_a_pause_and_the_next_tick)
+{
+    started_job fixture;
+    const auto now = start + seconds{3};
+    answer_poll_without_tasks(fixture, now);
+    EXPECT_EQ(fixture.metrics.counter("chivewharf_task_ends_total", "end=\"lapsed\""), 1U);
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+    fixture.owner.tick(now + milliseconds{1});
+    EXPECT_EQ(fixture.port.starts.size(), 1U); // the job's deadline has passed
+}
+
 // Guards against a job that waits for more resources than any worker has.
 TEST(shard_owner, job_larger_than_every_worker_is_refused_at_once)
 {
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -444,6 +444,27 @@
     EXPECT_TRUE(directory.silent(*owner, now + milliseconds{1}));
 }
 
+// Guards against an owner that acts on its jobs after a pause although their requesters have given
+// it up: messages that arrived during the pause must not make these look alive.
+TEST(fleet_histories, owner_that_was_paused_waits_for_its_requesters)
+{
+    fleet_simulation simulation{{}};
+    simulation.run_for(seconds{3});
+    ASSERT_FALSE(simulation.claims("host-0-0").empty());
+    wire::job_step step;
+    step.count = 4;
+    step.cpu_milli = 20000;
+    step.estimate_ms = 2500;
+    simulation.submit("a", "host-0-1", {step}, seconds{9});
+    simulation.run_for(milliseconds{300});
+    simulation.freeze("host-0-0", true);
+    simulation.run_for(seconds{3});
+    simulation.freeze("host-0-0", false);
+    simulation.run_for(seconds{8});
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
+    EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"completed"});
+}
+
 // Guards against a new configuration that every host sends to every other one, and against a host
 // that never gets it because it cannot read the store.
 TEST(fleet_histories, host_without_the_store_fetches_the_configuration_once)
