--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -194,6 +194,7 @@
             if (alive.expired())
                 return;
             if (record_number) {
+                announce_failures_ = 0;
                 core_.fence_base_granted(*record_number);
                 return;
             }
