A probe that gets no connection is not an answer of a worker

Cause: read in the code. A call that gets no connection was reported like a worker's refusal. A host that probes the workers of a silent domain took it for an answer, and could claim a domain whose workers it cannot reach.

Change: the outcome not_sent stands apart from refused; the probe counts it as unanswered, and it does not count as contact with the worker.

Tried and reverted: not to avoid a worker after an order without a connection, but to wait for its next status poll.

--- a/modules/fleet/adoption_probe.cpp
+++ b/modules/fleet/adoption_probe.cpp
@@ -43,7 +43,7 @@
 void adoption_probe::on_reply(const std::string& domain, order_outcome outcome, time_point now)
 {
     auto& probe = domains_[domain];
-    if (outcome != order_outcome::unanswered) {
+    if (outcome != order_outcome::unanswered && outcome != order_outcome::not_sent) {
         probe.unanswered = 0;
         if (!probe.answered_since)
             probe.answered_since = now;
--- a/modules/fleet/ports.h
+++ b/modules/fleet/ports.h
@@ -22,6 +22,7 @@
 ///  - `no_room`, `refused`: the worker lacks free resources or refused for another reason, and did
 ///    nothing.
 ///  - `other_incarnation`: another worker answers at the address.
+///  - `not_sent`: no connection to the worker, or none in time; nothing was done.
 ///  - `unanswered`: no reply arrived; the order may have been carried out, or may still be until it
 ///    expires.
 enum class order_outcome : std::uint8_t {
@@ -32,6 +33,7 @@
     no_room,
     refused,
     other_incarnation,
+    not_sent,
     unanswered
 };
 
@@ -188,9 +190,9 @@
 
 template <>
 struct chivewharf::enum_names<chivewharf::fleet::order_outcome> {
-    static constexpr std::array<std::string_view, 8> names{"accepted",   "fenced",    "stale_run",
-                                                           "expired",    "no_room",   "refused",
-                                                           "other_life", "unanswered"};
+    static constexpr std::array<std::string_view, 9> names{"accepted",   "fenced",   "stale_run",
+                                                           "expired",    "no_room",  "refused",
+                                                           "other_life", "not_sent", "unanswered"};
 };
 
 template <>
