--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -521,7 +521,8 @@
 {
     ++metrics_.counter("chivewharf_start_rejections_total",
                        "reason=\"" + std::string{to_name(reason)} + '"');
-    if (reason == order_outcome::refused || reason == order_outcome::no_room)
+    if (reason == order_outcome::refused || reason == order_outcome::no_room ||
+        reason == order_outcome::not_sent)
         avoid(workers_.at(session.entry().id), to_name(reason), now);
     lingering_tasks_.erase(tracked.task);
     const auto job_id = job_run::job_of(tracked.task);
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -104,9 +104,7 @@
         clock_.observe(*reply.clock_ms, now);
     const auto found = tasks_.find(task);
     const bool known = found != tasks_.end() && found->second.run == run;
-    const bool no_reply =
-        reply.outcome == order_outcome::unanswered || reply.outcome == order_outcome::not_sent;
-    if (!no_reply)
+    if (reply.outcome != order_outcome::unanswered && reply.outcome != order_outcome::not_sent)
         last_reply_at_ = std::max(last_reply_at_, now);
     if (reply.outcome == order_outcome::accepted) {
         if (known && found->second.accepted_at == time_point{})
@@ -125,9 +123,6 @@
     }
     if (known) {
         const auto tracked = found->second;
-        // The worker is not used until a status poll reaches it.
-        if (no_reply && last_reply_at_ < tracked.ordered_at)
-            record_miss(now);
         used_ -= tracked.demand;
         tasks_.erase(found);
         observer_.start_rejected(*this, tracked, reply.outcome, now);
