A list of hosts is never empty, since an empty one is a request

Cause: found while reading the change. Two hosts that know no others could answer each other's requests for the list of hosts with requests. Change: the reply holds the sender's own record. Test: two_hosts_exchange_their_lists_once.

--- a/modules/daemon/daemon.h
+++ b/modules/daemon/daemon.h
@@ -14,6 +14,7 @@
 #include <daemon/core_loop.h>
 #include <daemon/entry_daemon.h>
 #include <daemon/fleet_daemon.h>
+#include <daemon/host_list.h>
 #include <daemon/link_hub.h>
 #include <daemon/link_sockets.h>
 #include <daemon/peer_gateway.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -216,7 +216,7 @@
     }
     else if (const auto* records = std::get_if<wire::host_records>(&message)) {
         if (records->hosts.empty())
-            peers_.send(host, wire::host_records{directory_.records()});
+            send_host_list(host);
         for (const auto& one : records->hosts)
             host_listed(one, now);
     }
@@ -226,6 +226,14 @@
     }
 }
 
+void fleet_host::send_host_list(const std::string& host)
+{
+    // Never empty, since an empty list would be a request.
+    auto records = directory_.records();
+    records.push_back({self_.host, self_.domain, self_.address});
+    peers_.send(host, wire::host_records{std::move(records)});
+}
+
 void fleet_host::request_host_list(const std::string& host, time_point now)
 {
     host_list_requested_ = now;
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -169,7 +169,9 @@
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
     void send_report(const std::string& host, const wire::host_report& current, time_point now);
     void send_report(time_point now);
+    void send_host_list(const std::string& host);
     void request_host_list(const std::string& host, time_point now);
+    /// Asks one of the linked hosts for its list if that has not happened for a while.
     void request_host_list(time_point now);
     void send_due_reports(time_point now);
     void fetch_config(time_point now);
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -424,6 +424,18 @@
     }
 }
 
+// Guards against two hosts that know no others and answer each other's requests for the list of
+// hosts without end.
+TEST(fleet_histories, two_hosts_exchange_their_lists_once)
+{
+    fleet_simulation::options options;
+    options.hosts = {2};
+    fleet_simulation simulation{options};
+    simulation.run_for(seconds{5});
+    for (const auto& name : simulation.host_names())
+        EXPECT_LE(simulation.messages_of(name), 5U * 10 + 10) << name;
+}
+
 // Guards against an owner of another domain that counts as dead, so that its link is dropped, when
 // the first job is sent there: until it has the job, it reports only once a second.
 TEST(host_directory, first_job_at_a_remote_owner_starts_a_new_time_limit)
