A takeover proves only what the new owner knows of its predecessor's workers

What callers saw: after an outage of the store and the death of a failure domain's owner, tasks ran twice at the same time (TWICE; a plug is booked twice).

Cause: job_router sent a job of a lost owner again, before the lease of its tasks was over, as soon as the successor reported a complete takeover. That report covers the successor's own list of workers. A host that starts while entries of workers are lapsed has a short list; the workers that are missing in it still ran the dead owner's tasks.

Ruled out: the time limit of a lost owner (2.4 s, not reached), a worker that listed too little (each foreign task was reported as soon as the worker was asked), and fencing (the missing workers were never asked).

A job order carries the revision that its sender knows, and the owner starts the job on no worker added since. The sender therefore knows every worker on which its job may run, and takes a successor's takeover as a proof only if it covers all of them. Otherwise it waits for the lease, as without a successor. An owner does not pass a job to a sender with an older list. New log lines job_safe and takeover_complete show which proof was used.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <tuple>
 #include <utility>
+#include <wire/frame_codec.h>
 
 namespace chivewharf::fleet {
 
@@ -36,6 +37,41 @@
 
 } // namespace
 
+/// The report of a moment, made when it is first needed, with and without the lists of workers.
+class fleet_host::report_cache {
+public:
+    report_cache(const fleet_host& host, time_point now) : host_{host}, now_{now} {}
+
+    time_point now() const noexcept { return now_; }
+
+    const wire::host_report& brief()
+    {
+        if (!brief_)
+            brief_ = host_.report(now_);
+        return *brief_;
+    }
+
+    const wire::host_report& complete()
+    {
+        if (complete_)
+            return *complete_;
+        complete_ = brief();
+        for (auto& claim : complete_->claims) {
+            const auto& ids = host_.owned_.at(claim.shard).owner->workers_in_use()->ids;
+            // A longer list would not be accepted; receivers then rely on time limits.
+            if (ids.size() <= wire::max_report_entries)
+                claim.workers.assign(ids.begin(), ids.end());
+        }
+        return *complete_;
+    }
+
+private:
+    const fleet_host& host_;
+    time_point now_;
+    std::optional<wire::host_report> brief_;
+    std::optional<wire::host_report> complete_;
+};
+
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
@@ -77,10 +113,10 @@
         .add("queues", std::uint64_t{config()->queues.size()})
         .write();
     metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_.version());
-    const auto current = report(now);
+    report_cache reports{*this, now};
     for (const auto& [name, host] : directory_.hosts()) {
         if (host.linked && directory_.same_domain(host))
-            send_report(name, current, now);
+            send_report(name, reports);
     }
 }
 
@@ -130,7 +166,8 @@
     peers_.send(host, wire::host_records{{{self_.host, self_.domain, self_.address}}});
     if (now - host_list_requested_ >= min_host_list_interval)
         request_host_list(host, now);
-    peers_.send(host, report(now));
+    report_cache reports{*this, now};
+    send_report(host, reports);
     router_->host_reconnected(host, incarnation, now);
 }
 
@@ -166,6 +203,12 @@
 {
     const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
+        // A sender that does not know all workers yet is told of them before the answer.
+        const auto* sender = directory_.find(from);
+        if (sender != nullptr && sender->worker_revision_sent < worker_lists_changed_) {
+            report_cache reports{*this, now};
+            send_report(from, reports);
+        }
         found->second.owner->submit(order, from, now);
         return;
     }
@@ -342,17 +385,20 @@
         if (!owned.owner->leaving() && !owned.fenced_at)
             all.push_back({shard, self_.host, self_.incarnation, owned.epoch,
                            owned.owner->takeover_complete(), owned.owner->free_milli(),
-                           owned.owner->backlog()});
+                           owned.owner->backlog(), owned.owner->workers_in_use()});
     }
     for (const auto& [name, host] : directory_.hosts()) {
         if (!host.linked || !directory_.alive(host, now))
             continue;
         for (const auto& claim : host.report->claims) {
             // A leaving owner accepts jobs until a successor has claimed the shard.
-            if (!claim.leaving || !claimed_by_staying_host(claim.shard, now))
-                all.push_back({claim.shard, name, host.incarnation, claim.epoch,
-                               claim.takeover_complete, claim.free_milli,
-                               milliseconds{claim.backlog_ms}});
+            if (claim.leaving && claimed_by_staying_host(claim.shard, now))
+                continue;
+            const auto workers = host.workers.find(claim.shard);
+            all.push_back({claim.shard, name, host.incarnation, claim.epoch,
+                           claim.takeover_complete, claim.free_milli,
+                           milliseconds{claim.backlog_ms},
+                           workers == host.workers.end() ? nullptr : workers->second});
         }
     }
     return all;
@@ -453,11 +499,18 @@
         .write();
     ++metrics_.counter("chivewharf_claims_total");
     auto& added = owned_.insert_or_assign(shard, std::move(owned)).first->second;
-    added.owner->update_workers(workers_.list(), now);
+    update_workers(*added.owner, workers_.list(), now);
     added.owner->acquire_workers(token(added.epoch), !added.predecessor.empty(), now);
     send_report(now);
 }
 
+void fleet_host::update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
+                                time_point now)
+{
+    if (owner.update_workers(workers, ++worker_revision_, now))
+        worker_lists_changed_ = worker_revision_;
+}
+
 void fleet_host::yield(const wire::shard& shard, time_point now)
 {
     const auto found = owned_.find(shard);
@@ -608,32 +661,33 @@
     current.domains = plan_.all();
     current.accepts_store_records = true;
     for (const auto& [shard, owned] : owned_)
-        current.claims.push_back({shard, owned.epoch, owned.owner->takeover_complete(),
-                                  owned.owner->free_milli(),
-                                  static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
-                                  leaving_ || owned.offered_at});
+        current.claims.push_back(
+            {shard, owned.epoch, owned.owner->takeover_complete(), owned.owner->free_milli(),
+             static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
+             leaving_ || owned.offered_at, owned.owner->workers_in_use()->revision});
     return current;
 }
 
-void fleet_host::send_report(const std::string& host, const wire::host_report& current,
-                             time_point now)
+void fleet_host::send_report(const std::string& host, report_cache& reports)
 {
-    directory_.report_sent(host, now);
-    peers_.send(host, current);
+    const auto* known = directory_.find(host);
+    const bool has_lists = known != nullptr && known->worker_revision_sent >= worker_lists_changed_;
+    directory_.report_sent(host, worker_lists_changed_, reports.now());
+    peers_.send(host, has_lists ? reports.brief() : reports.complete());
 }
 
 void fleet_host::send_report(time_point now)
 {
-    const auto current = report(now);
+    report_cache reports{*this, now};
     for (const auto& [name, host] : directory_.hosts()) {
         if (host.linked)
-            send_report(name, current, now);
+            send_report(name, reports);
     }
 }
 
 void fleet_host::send_due_reports(time_point now)
 {
-    std::optional<wire::host_report> current;
+    report_cache reports{*this, now};
     for (const auto& [name, host] : directory_.hosts()) {
         // Hosts that do not pass on store records yet expect all reports of an owner at the short
         // interval.
@@ -642,9 +696,7 @@
             {directory_.same_domain(host) || older, !owned_.empty(), host.shares_jobs()});
         if (!host.linked || !interval || now - host.last_report_sent < *interval)
             continue;
-        if (!current)
-            current = report(now);
-        send_report(name, *current, now);
+        send_report(name, reports);
     }
 }
 
@@ -693,7 +745,7 @@
         if (workers_complete_)
             plan_.observe(list);
         for (auto& [shard, owned] : owned_)
-            owned.owner->update_workers(list, now);
+            update_workers(*owned.owner, list, now);
     }
     fetch_config(now);
     request_host_list(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -134,7 +134,7 @@
 
     const host_identity& self() const noexcept { return self_; }
 
-    /// The report that this host sends to others.
+    /// The report that this host sends to others, without the lists of workers.
     wire::host_report report(time_point now) const;
 
 private:
@@ -159,6 +159,8 @@
     void offer_shards(time_point now);
     std::vector<claim_candidate> candidates(const wire::shard& shard, time_point now) const;
     void claim(const wire::shard& shard, bool from_leaving_owner, time_point now);
+    void update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
+                        time_point now);
     void yield(const wire::shard& shard, time_point now);
     /// Once the back-off has passed, acquires the workers of a fenced shard under a higher epoch.
     void reclaim(const wire::shard& shard, owned_shard& owned, time_point now);
@@ -167,7 +169,9 @@
     void send_to_owner(const std::string& host, const wire::message& message, time_point now);
     void handle_order(const std::string& from, const wire::job_order& order, time_point now);
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
-    void send_report(const std::string& host, const wire::host_report& current, time_point now);
+    class report_cache;
+    /// Sends the report, with the lists of workers if the host does not have them yet.
+    void send_report(const std::string& host, report_cache& reports);
     void send_report(time_point now);
     void send_host_list(const std::string& host);
     void request_host_list(const std::string& host, time_point now);
@@ -209,6 +213,8 @@
     std::uint64_t host_list_requests_ = 0;
     time_point host_list_requested_{};
     std::uint64_t fence_base_ = 0;
+    std::uint64_t worker_revision_ = 0;      ///< of the last list that an owner was given
+    std::uint64_t worker_lists_changed_ = 0; ///< last revision that changed an owner's workers
     time_point leaving_since_{};
     time_point next_claim_check_{};
     time_point last_tick_{};
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -5,6 +5,30 @@
 
 namespace chivewharf::fleet {
 
+namespace {
+
+using lists_by_shard = std::map<wire::shard, shared_worker_list>;
+
+/// The worker lists after a report: those that it tells, and the known ones that have not changed.
+lists_by_shard worker_lists(const std::vector<wire::shard_claim>& claims,
+                            const lists_by_shard& known)
+{
+    lists_by_shard lists;
+    for (const auto& claim : claims) {
+        if (!claim.workers.empty()) {
+            lists[claim.shard] = std::make_shared<const worker_list>(
+                worker_list{claim.worker_revision, {claim.workers.begin(), claim.workers.end()}});
+            continue;
+        }
+        const auto found = known.find(claim.shard);
+        if (found != known.end() && found->second->revision == claim.worker_revision)
+            lists.insert(*found);
+    }
+    return lists;
+}
+
+} // namespace
+
 bool host_directory::learn(const wire::host_record& record, time_point now)
 {
     const auto [place, added] = hosts_.try_emplace(record.host);
@@ -23,8 +47,11 @@
     auto& view = hosts_[host];
     view.record.host = host;
     view.record.domain = domain;
-    if (view.incarnation != incarnation)
+    if (view.incarnation != incarnation) {
         view.report.reset();
+        view.workers.clear();
+    }
+    view.worker_revision_sent = 0;
     view.incarnation = incarnation;
     view.linked = true;
     view.link_changed = now;
@@ -45,6 +72,7 @@
     const auto found = hosts_.find(host);
     if (found == hosts_.end())
         return;
+    found->second.workers = worker_lists(report.claims, found->second.workers);
     found->second.report = std::move(report);
     found->second.last_heard = now;
 }
@@ -56,11 +84,14 @@
         found->second.last_heard = now;
 }
 
-void host_directory::report_sent(const std::string& host, time_point now)
+void host_directory::report_sent(const std::string& host, std::uint64_t worker_revision,
+                                 time_point now)
 {
     const auto found = hosts_.find(host);
-    if (found != hosts_.end())
-        found->second.last_report_sent = now;
+    if (found == hosts_.end())
+        return;
+    found->second.last_report_sent = now;
+    found->second.worker_revision_sent = worker_revision;
 }
 
 void host_directory::set_requesters(const std::set<std::string>& hosts)
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -2,6 +2,7 @@
 
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/types.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,8 @@
     bool has_jobs_here = false;                 ///< it waits for results of this host's shards
     std::optional<time_point> jobs_there_since; ///< since when this host has jobs at it
     std::optional<wire::host_report> report;
+    std::map<wire::shard, shared_worker_list> workers; ///< of the shards that it owns, if told
+    std::uint64_t worker_revision_sent = 0; ///< newest revision of this host's workers sent there
 
     /// True if the host owns a shard.
     bool owns() const { return report && !report->claims.empty(); }
@@ -55,7 +58,8 @@
     void message_received(const std::string& host, time_point now);
 
     /// A report was sent to the host.
-    void report_sent(const std::string& host, time_point now);
+    /// \param worker_revision revision of the workers in use that the host knows from now on
+    void report_sent(const std::string& host, std::uint64_t worker_revision, time_point now);
 
     /// Replaces the hosts that wait for results of this host's shards.
     void set_requesters(const std::set<std::string>& hosts);
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -29,6 +29,15 @@
 /// Another domain is used only if its backlog is shorter than the home domain's by this much.
 constexpr duration spill_margin = milliseconds{20};
 
+/// True if the owner's complete takeover proves that no task of the former owner can still run. The
+/// new owner vouches only for the workers that it knows. A worker that only the former one used,
+/// for example since its entry has lapsed, may still run tasks under that owner's lease.
+bool proves_takeover(const owner_view& owner, const owner_view& former)
+{
+    return owner.shard == former.shard && owner.takeover_complete && owner.epoch > former.epoch &&
+           owner.workers && former.workers && owner.workers->covers(*former.workers);
+}
+
 } // namespace
 
 job_router::job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
@@ -96,8 +105,7 @@
 bool job_router::safe_to_send(const routed_job& job, const owner_view& owner, time_point now) const
 {
     return !job.unsafe_owner || now > job.unsafe_until ||
-           (job.safe_after_takeover && owner.shard == job.unsafe_owner->shard &&
-            owner.takeover_complete && owner.epoch > job.unsafe_owner->epoch);
+           (job.safe_after_takeover && proves_takeover(owner, *job.unsafe_owner));
 }
 
 void job_router::mark_unsafe(routed_job& job, time_point until)
@@ -142,6 +150,14 @@
     const auto* owner = choose_owner(job, owners, now);
     if (owner == nullptr)
         return false;
+    if (job.unsafe_owner && log_.should_log(job.order.job, now))
+        log_line{"job_safe"}
+            .add("job", job.order.job)
+            .add("former", job.unsafe_owner->host)
+            .add("why", now > job.unsafe_until ? "time_limit" : "takeover")
+            .add("owner", owner->host)
+            .add("workers", owner->workers ? owner->workers->ids.size() : 0)
+            .write();
     job.unsafe_owner.reset();
     send_to(job, *owner, now);
     return true;
@@ -156,6 +172,7 @@
     job.state = job_state::sent;
     job.owner = owner;
     job.order.shard = owner.shard;
+    job.order.worker_revision = owner.workers ? owner.workers->revision : 0;
     job.order.age_ms = static_cast<std::uint32_t>(to_ms(now - job.arrived));
     job.order.remaining_ms =
         static_cast<std::uint32_t>(std::max<std::int64_t>(to_ms(job.deadline - now), 0));
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
+#include <fleet/types.h>
 #include <functional>
 #include <map>
 #include <metrics/registry.h>
@@ -25,6 +26,7 @@
     bool takeover_complete = false;
     std::uint64_t free_milli = 0; ///< free processor time, thousandths of a core
     duration backlog{};           ///< estimated time in which it can run its waiting tasks
+    shared_worker_list workers;   ///< none if the owner has not told them
 };
 
 /// Routes the jobs of the callers that reached this host: chooses an owner for each job, sends the
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -47,6 +47,7 @@
 {
     token_ = token;
     suspended_ = false;
+    takeover_logged_ = false;
     predecessor_leaving_ = wait_for_release;
     for (auto& [id, worker] : workers_) {
         worker.held_by_predecessor = wait_for_release;
@@ -74,9 +75,10 @@
     }
 }
 
-void shard_owner::add_worker(const worker_entry& entry, time_point now)
+void shard_owner::add_worker(const worker_entry& entry, std::uint64_t revision, time_point now)
 {
     managed_worker added;
+    added.added_in = revision;
     added.session = std::make_shared<worker_session>(entry, port_, *this);
     auto& worker = workers_.insert_or_assign(entry.id, std::move(added)).first->second;
     // The leaving predecessor may have started tasks on a new worker too. Acquiring it would take
@@ -86,7 +88,8 @@
         worker.session->acquire(token_, now);
 }
 
-void shard_owner::update_workers(const std::vector<worker_entry>& workers, time_point now)
+bool shard_owner::update_workers(const std::vector<worker_entry>& workers, std::uint64_t revision,
+                                 time_point now)
 {
     std::set<std::string> listed;
     for (const auto& entry : workers) {
@@ -95,7 +98,7 @@
         listed.insert(entry.id);
         const auto found = workers_.find(entry.id);
         if (found == workers_.end())
-            add_worker(entry, now);
+            add_worker(entry, revision, now);
         else if (found->second.session->entry() != entry)
             found->second.session->update(entry, now);
     }
@@ -109,7 +112,15 @@
         model_.forget(it->first);
         it = workers_.erase(it);
     }
+    std::set<std::string> in_use;
+    for (const auto& [id, worker] : workers_)
+        in_use.insert(id);
+    const bool changed = in_use != workers_in_use_->ids;
+    if (changed)
+        workers_in_use_ =
+            std::make_shared<const worker_list>(worker_list{revision, std::move(in_use)});
     schedule(now);
+    return changed;
 }
 
 bool shard_owner::satisfiable(const wire::job_order& order) const
@@ -118,7 +129,8 @@
         const auto demand = demand_of(step);
         return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
             const auto& entry = one.second.session->entry();
-            return entry.service == order.service && entry.capacity.fits(demand) &&
+            return known_to_requester(one.second, order) && entry.service == order.service &&
+                   entry.capacity.fits(demand) &&
                    (step.required_label.empty() || has_label(entry, step.required_label));
         });
     });
@@ -204,7 +216,12 @@
     const auto known = jobs_.find(order.job);
     if (known != jobs_.end()) {
         auto& job = *known->second;
+        if (order.worker_revision != 0 && order.worker_revision < job.order.worker_revision)
+            return callbacks_.result(
+                requester, {order.job, order.attempt, wire::job_end::not_owner, retry_after_ms},
+                now);
         job.requester = requester;
+        job.order.worker_revision = order.worker_revision;
         job.order.attempt = order.attempt;
         job.orphaned_since.reset();
         job.deadline = now + milliseconds{order.remaining_ms};
@@ -362,8 +379,8 @@
     const auto& session = *worker.session;
     const auto& entry = session.entry();
     const auto& step = job.order.steps[position.step];
-    return session.usable() && now >= worker.avoid_until && entry.service == job.order.service &&
-           session.free().fits(demand_of(step)) &&
+    return session.usable() && now >= worker.avoid_until && known_to_requester(worker, job.order) &&
+           entry.service == job.order.service && session.free().fits(demand_of(step)) &&
            (step.required_label.empty() || has_label(entry, step.required_label)) &&
            below_spread_limit(job, position, entry.id);
 }
@@ -747,11 +764,25 @@
         finish(id, end, now);
 }
 
+void shard_owner::log_takeover()
+{
+    if (takeover_logged_ || !takeover_complete())
+        return;
+    takeover_logged_ = true;
+    log_line{"takeover_complete"}
+        .add("shard", to_text(shard_))
+        .add("token", token_)
+        .add("workers", std::uint64_t{workers_.size()})
+        .add("revision", workers_in_use_->revision)
+        .write();
+}
+
 void shard_owner::tick(time_point now)
 {
     last_tick_ = now;
     for (auto& [id, worker] : workers_)
         worker.session->tick(now);
+    log_takeover();
     check_deadlines(now);
     if (leaving_) {
         release_idle_workers(now);
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -61,7 +61,13 @@
     void predecessor_gone(time_point now);
 
     /// Replaces the list of workers; those of other shards are ignored.
-    void update_workers(const std::vector<worker_entry>& workers, time_point now);
+    /// \param revision of this list; higher than every earlier one of the process
+    /// \return true if the set of workers in use has changed
+    bool update_workers(const std::vector<worker_entry>& workers, std::uint64_t revision,
+                        time_point now);
+
+    /// The workers on which tasks may be started; their revision is that of their last change.
+    const shared_worker_list& workers_in_use() const noexcept { return workers_in_use_; }
 
     /// Accepts or refuses a job. Another attempt of a job that is already here only updates its
     /// requester, attempt and deadline.
@@ -113,6 +119,7 @@
     /// A worker with its hand-over state and its record of failures.
     struct managed_worker {
         std::shared_ptr<worker_session> session;
+        std::uint64_t added_in = 0; ///< revision of the list with which it was added
         bool held_by_predecessor = false;
         bool released = false;
         std::uint32_t consecutive_failures = 0;
@@ -129,7 +136,14 @@
     };
     using job_map = std::map<std::string, std::unique_ptr<job_run>>;
 
-    void add_worker(const worker_entry& entry, time_point now);
+    /// True if the job may start on the worker: its requester must know all workers that may run
+    /// its tasks, to tell whether a later owner has taken over all of them.
+    static bool known_to_requester(const managed_worker& worker, const wire::job_order& order)
+    {
+        return order.worker_revision == 0 || worker.added_in <= order.worker_revision;
+    }
+    void add_worker(const worker_entry& entry, std::uint64_t revision, time_point now);
+    void log_takeover();
     bool satisfiable(const wire::job_order& order) const;
     /// Part of the backlog that is due to jobs whose latest start is not after the given one.
     duration backlog_before(time_point latest_start) const;
@@ -172,6 +186,7 @@
     callbacks callbacks_;
     run_time_model model_;
     std::map<std::string, managed_worker> workers_;
+    shared_worker_list workers_in_use_ = std::make_shared<const worker_list>();
     job_map jobs_;
     std::set<waiting_job> waiting_;
     /// Tasks of ended jobs that may still be on a worker; they are not started again before their
@@ -180,6 +195,7 @@
     std::uint64_t token_ = 0;
     time_point next_progress_check_{};
     time_point last_tick_{};
+    bool takeover_logged_ = false;
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
     bool predecessor_leaving_ = false; ///< a predecessor still releases its workers
     bool leaving_ = false;
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -69,8 +69,9 @@
             entry.domain = "d";
             entry.incarnation = 1;
         }
-        owner.update_workers(entries, start);
+        owner.update_workers(entries, ++revision, start);
         owner.acquire_workers(1, false, start);
+        polls_answered = 0;
         while (!port.polls.empty() && polls_answered++ < entries.size()) {
             status_reply reply;
             reply.clock_ms = 1000;
@@ -99,6 +100,7 @@
     request_log log;
     std::vector<wire::job_result> results;
     std::size_t polls_answered = 0;
+    std::uint64_t revision = 0; ///< of the last list of workers
     shard_owner owner;
 };
 
@@ -127,7 +129,7 @@
     auto entry = worker("a", 64000);
     entry.domain = "d";
     fixture.owner.acquire_workers(1, true, start);
-    fixture.owner.update_workers({entry}, start);
+    fixture.owner.update_workers({entry}, ++fixture.revision, start);
     fixture.owner.tick(start + milliseconds{20});
     EXPECT_TRUE(fixture.port.polls.empty());
     EXPECT_FALSE(fixture.owner.takeover_complete());
@@ -142,7 +144,7 @@
     auto entry = worker("a", 64000);
     entry.domain = "d";
     fixture.owner.acquire_workers(1, true, start);
-    fixture.owner.update_workers({entry}, start);
+    fixture.owner.update_workers({entry}, ++fixture.revision, start);
     fixture.owner.predecessor_gone(start + milliseconds{40});
     EXPECT_EQ(fixture.port.polls.size(), 1U);
 }
@@ -355,6 +357,47 @@
     EXPECT_FALSE(fixture.owner.takeover_complete());
 }
 
+// Guards against a task on a worker that the sender of its job does not know: if the owner died,
+// its successor could pass for complete without that worker, and the task would start twice.
+TEST(shard_owner, job_starts_only_on_workers_that_its_sender_knows)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 1000)});
+    auto order = fixture.order("j", {step(2, 1000)});
+    order.worker_revision = fixture.owner.workers_in_use()->revision;
+    fixture.add_workers({worker("a", 1000), worker("b", 64000)});
+    ASSERT_EQ(fixture.owner.usable_workers(), 2U);
+    fixture.owner.submit(order, "h", start);
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    EXPECT_EQ(fixture.port.starts[0].order.to.id, "a");
+    // The sender learns of the new worker and sends the job again.
+    order.worker_revision = fixture.owner.workers_in_use()->revision;
+    fixture.owner.submit(order, "h", start);
+    fixture.owner.tick(start + milliseconds{20});
+    ASSERT_EQ(fixture.port.starts.size(), 2U);
+    EXPECT_EQ(fixture.port.starts[1].order.to.id, "b");
+}
+
+// Guards against a job that passes to another sender whose list lacks a worker on which it may run
+// already.
+TEST(shard_owner, job_is_not_taken_over_by_a_sender_with_an_older_list)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 1000)});
+    const auto older = fixture.owner.workers_in_use()->revision;
+    fixture.add_workers({worker("a", 1000), worker("b", 64000)});
+    auto order = fixture.order("j", {step(2, 1000)});
+    order.worker_revision = fixture.owner.workers_in_use()->revision;
+    fixture.owner.submit(order, "h", start);
+    order.worker_revision = older;
+    fixture.owner.submit(order, "other", start);
+    ASSERT_EQ(fixture.results.size(), 1U);
+    EXPECT_EQ(fixture.results[0].end, wire::job_end::not_owner);
+    std::set<std::string> requesters;
+    fixture.owner.collect_requesters(requesters);
+    EXPECT_EQ(requesters, std::set<std::string>{"h"});
+}
+
 // Guards against tasks that run on after their caller has left, and against starts that use their
 // resources before they have ended.
 TEST(shard_owner, cancel_stops_tasks_and_keeps_their_resources_occupied)
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -352,6 +352,10 @@
         if (!host.core->config() || host.core->config()->version < version_)
             host.core->config_read(config_text(version_), now_);
         for (const auto& [id, worker] : workers_) {
+            if (unlisted_workers_.contains(id)) {
+                host.core->worker_unlisted(id, now_);
+                continue;
+            }
             auto entry = worker.entry;
             entry.incarnation = worker.incarnation;
             host.core->worker_listed(entry);
@@ -475,6 +479,14 @@
         hosts_without_store_.insert(host);
 }
 
+void fleet_simulation::list_worker(const std::string& worker, bool listed)
+{
+    if (listed)
+        unlisted_workers_.erase(worker);
+    else
+        unlisted_workers_.insert(worker);
+}
+
 std::vector<wire::shard_claim> fleet_simulation::claims(const std::string& host) const
 {
     const auto& one = *hosts_.at(host);
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -68,6 +68,8 @@
     void store_up(bool up) { store_up_ = up; }
     /// Makes the store available or unavailable to this host only.
     void store_up(const std::string& host, bool up);
+    /// Adds the worker's entry to the store or removes it; the worker runs on.
+    void list_worker(const std::string& worker, bool listed);
     void publish(std::uint64_t version);
     void stop(const std::string& host);
 
@@ -152,6 +154,7 @@
     std::uint64_t starts_ = 0;
     std::uint64_t config_records_ = 0;
     std::set<std::string> hosts_without_store_;
+    std::set<std::string> unlisted_workers_;
     bool store_up_ = true;
 };
 
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -456,6 +456,31 @@
     EXPECT_TRUE(directory.silent(*owner, now + milliseconds{1}));
 }
 
+// Guards against a list of workers that outlives its revision or its process: a takeover would be
+// compared with workers that the owner does not use.
+TEST(host_directory, worker_list_is_kept_while_its_revision_stays)
+{
+    host_directory directory{"here"};
+    const time_point now{seconds{100}};
+    const wire::shard shard{"here", 0, 1};
+    const auto report = [&](std::uint64_t revision, std::vector<std::string> workers) {
+        wire::host_report one;
+        one.claims.push_back({shard, 1, true, 0, 0, false, revision, std::move(workers)});
+        directory.report("owner", one, now);
+    };
+    const auto known = [&] { return directory.find("owner")->workers; };
+    directory.linked("owner", "here", 1, now);
+    report(4, {"a", "b"});
+    report(4, {});
+    ASSERT_EQ(known().count(shard), 1U);
+    EXPECT_EQ(known().at(shard)->ids, (std::set<std::string>{"a", "b"}));
+    report(5, {});
+    EXPECT_TRUE(known().empty());
+    report(6, {"a"});
+    directory.linked("owner", "here", 2, now);
+    EXPECT_TRUE(known().empty());
+}
+
 // Guards against an owner that acts on its jobs after a pause although their requesters have given
 // it up: messages that arrived during the pause must not make these look alive.
 TEST(fleet_histories, owner_that_was_paused_waits_for_its_requesters)
@@ -477,6 +502,52 @@
     EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"completed"});
 }
 
+/// The first host of the domain that owns a shard; empty if there is none.
+std::string owner_of(fleet_simulation& simulation, const std::string& domain)
+{
+    const auto owners = owners_in(simulation, domain);
+    return owners.empty() ? std::string{} : owners.front();
+}
+
+// Guards against a takeover that counts as complete although the new owner does not know all
+// workers of its predecessor: their entries had lapsed when it started, and the jobs of the dead
+// owner would start again beside their first runs.
+TEST(fleet_histories, takeover_with_lapsed_entries_runs_nothing_twice)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        fleet_simulation::options options;
+        options.seed = seed;
+        fleet_simulation simulation{options};
+        simulation.run_for(seconds{3});
+        const auto owner = owner_of(simulation, "domain-0");
+        simulation.store_up(false);
+        for (const auto& worker : {"w-0-1", "w-0-2", "w-0-3"})
+            simulation.list_worker(worker, false);
+        std::vector<std::string> standbys;
+        for (const auto& host : {"host-0-0", "host-0-1", "host-0-2"}) {
+            if (host == owner)
+                continue;
+            standbys.emplace_back(host);
+            simulation.kill(host);
+            simulation.boot(host);
+        }
+        simulation.run_for(seconds{1});
+        simulation.store_up(true);
+        simulation.run_for(milliseconds{600});
+        for (std::size_t i = 0; i < 4; ++i)
+            simulation.submit("a" + std::to_string(i), standbys[i % standbys.size()],
+                              {step(2, 27000, 900)});
+        simulation.run_for(milliseconds{200});
+        simulation.kill(owner);
+        simulation.run_for(seconds{1});
+        for (const auto& worker : {"w-0-1", "w-0-2", "w-0-3"})
+            simulation.list_worker(worker, true);
+        simulation.run_for(seconds{8});
+        EXPECT_NE(owner_of(simulation, "domain-0"), "");
+        EXPECT_EQ(simulation.violations(), std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
 // Guards against a new configuration that every host sends to every other one, and against a host
 // that never gets it because it cannot read the store.
 TEST(fleet_histories, host_without_the_store_fetches_the_configuration_once)
--- a/modules/fleet/types.h
+++ b/modules/fleet/types.h
@@ -5,6 +5,8 @@
 #include <base/enum_names.h>
 #include <base/time.h>
 #include <cstdint>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 #include <wire/messages.h>
@@ -59,6 +61,20 @@
     bool operator==(const worker_entry&) const = default;
 };
 
+/// The workers on which an owner may start tasks, as it tells the hosts that send it jobs.
+struct worker_list {
+    std::uint64_t revision = 0; ///< rises with each change, across all shards of the process
+    std::set<std::string> ids;
+
+    /// True if every worker of the other list is in this one.
+    bool covers(const worker_list& other) const
+    {
+        return std::includes(ids.begin(), ids.end(), other.ids.begin(), other.ids.end());
+    }
+};
+
+using shared_worker_list = std::shared_ptr<const worker_list>;
+
 /// How a run of a task ended.
 ///  - `done`: it succeeded. `failed`: the task or its worker failed.
 ///  - `stopped`: on an order. `lapsed`: its lease expired, or its worker ended.
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -197,7 +197,8 @@
     return fbs::Createjob_order(b, text(b, m.job), m.attempt, text(b, m.queue), text(b, m.service),
                                 m.priority, m.max_attempts, m.stretch, m.target_ms, m.age_ms,
                                 m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps),
-                                text(b, m.shard.domain), m.shard.index, m.shard.count);
+                                text(b, m.shard.domain), m.shard.index, m.shard.count,
+                                m.worker_revision);
 }
 
 auto write(FlatBufferBuilder& b, const job_result& m)
@@ -218,7 +219,8 @@
     for (const auto& claim : m.claims)
         claims.push_back(fbs::Createshard_claim(
             b, text(b, claim.shard.domain), claim.epoch, claim.takeover_complete, claim.free_milli,
-            claim.backlog_ms, claim.shard.index, claim.shard.count, claim.leaving));
+            claim.backlog_ms, claim.shard.index, claim.shard.count, claim.leaving,
+            claim.worker_revision, b.CreateVectorOfStrings(claim.workers)));
     std::vector<Offset<fbs::domain_shards>> domains;
     domains.reserve(m.domains.size());
     for (const auto& known : m.domains)
@@ -264,6 +266,19 @@
     return true;
 }
 
+// A missing list counts as empty.
+bool read_field(std::vector<std::string>& to,
+                const flatbuffers::Vector<Offset<flatbuffers::String>>* from)
+{
+    if (from == nullptr)
+        return true;
+    if (from->size() > max_report_entries)
+        return false;
+    return std::all_of(from->begin(), from->end(), [&to](const flatbuffers::String* name) {
+        return read_field(to.emplace_back(), name);
+    });
+}
+
 // A missing vector counts as empty.
 bool read_field(std::string& to, const flatbuffers::Vector<std::uint8_t>* from)
 {
@@ -540,6 +555,7 @@
     m.target_ms = t.target_ms();
     m.age_ms = t.age_ms();
     m.remaining_ms = t.remaining_ms();
+    m.worker_revision = t.worker_revision();
     if (t.steps() == nullptr || t.steps()->size() > max_job_steps)
         return false;
     for (const auto* step : *t.steps()) {
@@ -592,7 +608,8 @@
         claim.free_milli = table->free_milli();
         claim.backlog_ms = table->backlog_ms();
         claim.leaving = table->leaving();
-        if (!read(claim.shard, *table))
+        claim.worker_revision = table->worker_revision();
+        if (!read(claim.shard, *table) || !read_field(claim.workers, table->workers()))
             return false;
     }
     return true;
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -285,6 +285,9 @@
     std::string payload;
     std::vector<job_step> steps;
     wire::shard shard; ///< shard whose workers run the tasks
+    /// Newest revision of the owner's workers that the sender knows: no task may start on a worker
+    /// that the owner has added since. 0: on any.
+    std::uint64_t worker_revision = 0;
     bool operator==(const job_order&) const = default;
 };
 
@@ -331,6 +334,11 @@
     std::uint64_t free_milli = 0;   ///< free capacity of the usable workers, thousandths of a core
     std::uint32_t backlog_ms = 0;   ///< time needed to run the queued work
     bool leaving = false;           ///< the sender wants a host with precedence to claim the shard
+    std::uint64_t worker_revision =
+        0; ///< rises with each change of the workers in use; 0: not told
+    /// Ids of the workers on which the sender may start tasks; empty if the receiver has had those
+    /// of this revision.
+    std::vector<std::string> workers{};
     bool operator==(const shard_claim&) const = default;
 };
 
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -49,14 +49,15 @@
                       1500,
                       binary_body,
                       {{4, 27000, 64, 1, 900, {0, 1}, true, true, true, 2, "fast", "r1"}, {}},
-                      {"rosyth", 1, 4}},
+                      {"rosyth", 1, 4},
+                      6},
             job_result{"a1", 2, job_end::interrupted, 1000},
             job_cancel{"a1", 2},
             host_report{7,
                         8,
                         true,
                         true,
-                        {{{"rosyth", 2, 3}, 9, true, 64000, 12, true}},
+                        {{{"rosyth", 2, 3}, 9, true, 64000, 12, true, 6, {"w-1", "w-2"}}},
                         250,
                         {{"rosyth", 3}},
                         true},
@@ -136,12 +137,14 @@
 {
     member_entry odd_state;
     odd_state.state = static_cast<member_state>(3);
+    const std::vector<std::string> too_many(max_report_entries + 1);
     const std::vector<message> bad{
         forward{1, "c", "s", static_cast<operation>(3), 0, ""},
         usage_average{1, 1, false, {1, 2}, {1.0F}},
         slot_request{1, std::string(max_name_bytes + 1, 's'), 1, {}},
         member_report{std::vector<member_entry>(max_report_entries + 1), false},
-        member_report{{odd_state}, false}};
+        member_report{{odd_state}, false},
+        host_report{1, 1, false, true, {{{"d", 0, 1}, 1, true, 0, 0, false, 1, too_many}}, 0, {}}};
     for (const auto& m : bad) {
         auto decoder = authenticated_decoder();
         const auto code = error_of(decoder, encode(m));
