Names of leaving workers in a frame are bounded in length and number

Cause: the decoder of slot_return read its list of names by itself, without the limits that all other names have, so that a peer could make a host hold names of any length and number.

Change: lists of names are read by one function with both limits, as for the workers in a report.

Measured: frame_codec.refuses_values_out_of_range with the two new messages failed before and passes now; 8 of 8 tests of wire.

--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -441,11 +441,7 @@
 
 bool read(slot_return& m, const fbs::slot_return& t)
 {
-    if (t.leaving() != nullptr) {
-        for (const auto* worker : *t.leaving())
-            m.leaving.push_back(worker->str());
-    }
-    return read(m.slots, t.slots());
+    return read_field(m.leaving, t.leaving()) && read(m.slots, t.slots());
 }
 
 bool read(promise_request& m, const fbs::promise_request& t)
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -144,6 +144,8 @@
         slot_request{1, std::string(max_name_bytes + 1, 's'), 1, {}},
         member_report{std::vector<member_entry>(max_report_entries + 1), false},
         member_report{{odd_state}, false},
+        slot_return{{}, {std::string(max_name_bytes + 1, 'w')}},
+        slot_return{{}, std::vector<std::string>(max_report_entries + 1)},
         host_report{1, 1, false, true, {{{"d", 0, 1}, 1, true, 0, 0, false, 1, too_many}}, 0, {}}};
     for (const auto& m : bad) {
         auto decoder = authenticated_decoder();
