A worker whose entry is gone gets no new tasks

The platform asks that an entry which is still missing two seconds after the store's return is treated as gone.

Cause: shard_owner kept a worker without an entry until its tasks had ended, and went on starting tasks there meanwhile. Under load it never became idle, so it was used without end. It was also removed only at the next change of the list of workers.

Change: a worker that is no longer listed counts neither as usable nor for the question whether a job can be satisfied, and is removed as soon as it is idle.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -511,6 +511,21 @@
         worker_lists_changed_ = worker_revision_;
 }
 
+void fleet_host::update_workers(time_point now)
+{
+    const bool changed = workers_.refresh(now);
+    const bool any_to_remove = std::any_of(owned_.begin(), owned_.end(), [](const auto& one) {
+        return one.second.owner->has_worker_to_remove();
+    });
+    if (!changed && !any_to_remove)
+        return;
+    const auto list = workers_.list();
+    if (changed && workers_complete_)
+        plan_.observe(list);
+    for (auto& [shard, owned] : owned_)
+        update_workers(*owned.owner, list, now);
+}
+
 void fleet_host::yield(const wire::shard& shard, time_point now)
 {
     const auto found = owned_.find(shard);
@@ -740,13 +755,7 @@
     drop_links_after_pause(now);
     drop_silent_hosts(now);
     directory_.expire(now);
-    if (workers_.refresh(now)) {
-        const auto list = workers_.list();
-        if (workers_complete_)
-            plan_.observe(list);
-        for (auto& [shard, owned] : owned_)
-            update_workers(*owned.owner, list, now);
-    }
+    update_workers(now);
     fetch_config(now);
     request_host_list(now);
     if (now >= next_claim_check_) {
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -159,6 +159,8 @@
     void offer_shards(time_point now);
     std::vector<claim_candidate> candidates(const wire::shard& shard, time_point now) const;
     void claim(const wire::shard& shard, bool from_leaving_owner, time_point now);
+    /// Passes changes of the list of workers on to the owned shards.
+    void update_workers(time_point now);
     void update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
                         time_point now);
     void yield(const wire::shard& shard, time_point now);
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -104,7 +104,8 @@
     }
     for (auto it = workers_.begin(); it != workers_.end();) {
         // A worker with tasks is kept until they have ended or their lease has expired.
-        if (listed.contains(it->first) || !it->second.session->tasks().empty()) {
+        it->second.listed = listed.contains(it->first);
+        if (it->second.listed || !it->second.session->tasks().empty()) {
             ++it;
             continue;
         }
@@ -123,14 +124,21 @@
     return changed;
 }
 
+bool shard_owner::has_worker_to_remove() const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [](const auto& one) {
+        return !one.second.listed && one.second.session->tasks().empty();
+    });
+}
+
 bool shard_owner::satisfiable(const wire::job_order& order) const
 {
     return std::all_of(order.steps.begin(), order.steps.end(), [&](const wire::job_step& step) {
         const auto demand = demand_of(step);
         return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
             const auto& entry = one.second.session->entry();
-            return known_to_requester(one.second, order) && entry.service == order.service &&
-                   entry.capacity.fits(demand) &&
+            return one.second.listed && known_to_requester(one.second, order) &&
+                   entry.service == order.service && entry.capacity.fits(demand) &&
                    (step.required_label.empty() || has_label(entry, step.required_label));
         });
     });
@@ -140,7 +148,7 @@
 {
     std::uint64_t capacity = 0;
     for (const auto& [id, worker] : workers_) {
-        if (worker.session->usable())
+        if (accepts_tasks(worker))
             capacity += static_cast<std::uint64_t>(worker.session->entry().capacity.cpu_milli);
     }
     return capacity;
@@ -169,7 +177,7 @@
 {
     std::uint64_t free = 0;
     for (const auto& [id, worker] : workers_) {
-        if (worker.session->usable())
+        if (accepts_tasks(worker))
             free += static_cast<std::uint64_t>(
                 std::max<std::int64_t>(worker.session->free().cpu_milli, 0));
     }
@@ -179,7 +187,7 @@
 std::size_t shard_owner::usable_workers() const
 {
     return static_cast<std::size_t>(std::count_if(
-        workers_.begin(), workers_.end(), [](auto& one) { return one.second.session->usable(); }));
+        workers_.begin(), workers_.end(), [](auto& one) { return accepts_tasks(one.second); }));
 }
 
 bool shard_owner::takeover_complete() const
@@ -379,8 +387,9 @@
     const auto& session = *worker.session;
     const auto& entry = session.entry();
     const auto& step = job.order.steps[position.step];
-    return session.usable() && now >= worker.avoid_until && known_to_requester(worker, job.order) &&
-           entry.service == job.order.service && session.free().fits(demand_of(step)) &&
+    return accepts_tasks(worker) && now >= worker.avoid_until &&
+           known_to_requester(worker, job.order) && entry.service == job.order.service &&
+           session.free().fits(demand_of(step)) &&
            (step.required_label.empty() || has_label(entry, step.required_label)) &&
            below_spread_limit(job, position, entry.id);
 }
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -66,7 +66,10 @@
     bool update_workers(const std::vector<worker_entry>& workers, std::uint64_t revision,
                         time_point now);
 
-    /// The workers on which tasks may be started; their revision is that of their last change.
+    /// True if a worker that is no longer listed has become idle: the next update removes it.
+    bool has_worker_to_remove() const;
+
+    /// The workers on which tasks may be running; their revision is that of their last change.
     const shared_worker_list& workers_in_use() const noexcept { return workers_in_use_; }
 
     /// Accepts or refuses a job. Another attempt of a job that is already here only updates its
@@ -120,6 +123,7 @@
     struct managed_worker {
         std::shared_ptr<worker_session> session;
         std::uint64_t added_in = 0; ///< revision of the list with which it was added
+        bool listed = true;         ///< false: it is kept only until its tasks have ended
         bool held_by_predecessor = false;
         bool released = false;
         std::uint32_t consecutive_failures = 0;
@@ -136,6 +140,11 @@
     };
     using job_map = std::map<std::string, std::unique_ptr<job_run>>;
 
+    /// True if tasks may be started on the worker.
+    static bool accepts_tasks(const managed_worker& worker)
+    {
+        return worker.listed && worker.session->usable();
+    }
     /// True if the job may start on the worker: its requester must know all workers that may run
     /// its tasks, to tell whether a later owner has taken over all of them.
     static bool known_to_requester(const managed_worker& worker, const wire::job_order& order)
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -357,6 +357,39 @@
     EXPECT_FALSE(fixture.owner.takeover_complete());
 }
 
+/// Reports to the owner that a task on the worker of the last poll has succeeded.
+void end_task(owner_fixture& fixture, const std::string& task, time_point now)
+{
+    status_reply reply;
+    reply.clock_ms = 1000 + to_ms(now - start);
+    reply.incarnation = 1;
+    reply.ended.push_back({1, task, 1, task_end::done, {}});
+    fixture.port.answer_poll(reply, now);
+}
+
+// Guards against a worker that is kept in use by its own tasks after its entry has gone: the owner
+// would go on starting tasks there, and a later owner would not know the worker.
+TEST(shard_owner, worker_without_an_entry_gets_no_new_tasks)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 64000)});
+    fixture.owner.submit(fixture.order("j", {step(1, 1000)}), "h", start);
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    fixture.owner.update_workers({}, ++fixture.revision, start);
+    EXPECT_EQ(fixture.owner.workers(), 1U) << "its task would be lost";
+    EXPECT_EQ(fixture.owner.free_milli(), 0U);
+    fixture.owner.submit(fixture.order("k", {step(1, 1000)}), "h", start);
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+    ASSERT_EQ(fixture.results.size(), 1U);
+    EXPECT_EQ(fixture.results[0].end, wire::job_end::impossible);
+    EXPECT_FALSE(fixture.owner.has_worker_to_remove());
+    end_task(fixture, "j.0.0.0", start + milliseconds{100});
+    EXPECT_EQ(fixture.results.back().end, wire::job_end::completed);
+    EXPECT_TRUE(fixture.owner.has_worker_to_remove());
+    EXPECT_TRUE(fixture.owner.update_workers({}, ++fixture.revision, start + milliseconds{120}));
+    EXPECT_EQ(fixture.owner.workers(), 0U);
+}
+
 // Guards against a task on a worker that the sender of its job does not know: if the owner died,
 // its successor could pass for complete without that worker, and the task would start twice.
 TEST(shard_owner, job_starts_only_on_workers_that_its_sender_knows)
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -548,6 +548,24 @@
     }
 }
 
+// Guards against an owner that goes on using a worker whose entry is gone, as long as the load
+// never leaves it idle.
+TEST(fleet_histories, busy_worker_without_an_entry_is_left)
+{
+    fleet_simulation simulation{{}};
+    simulation.run_for(seconds{3});
+    generate_load(simulation, seconds{16}, 60);
+    simulation.run_for(seconds{3});
+    simulation.list_worker("w-0-0", false);
+    // The store is read twice a second, and the longest task takes 1.3 times 0.9 s and more on a
+    // slow worker.
+    simulation.run_for(worker_directory::removal_grace + seconds{4});
+    const auto before = simulation.worker("w-0-0").ends;
+    simulation.run_for(seconds{4});
+    EXPECT_EQ(simulation.worker("w-0-0").ends, before);
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
+}
+
 // Guards against a new configuration that every host sends to every other one, and against a host
 // that never gets it because it cannot read the store.
 TEST(fleet_histories, host_without_the_store_fetches_the_configuration_once)
