An entry with an unknown failure domain is not used and not reported

What callers saw: one odd entry among the workers' could close all links between hosts for as long as it was listed, so that requests were answered only by owners themselves.

Cause: shard_plan counted the workers of every failure domain that an entry named, and each host reports its plan. A name of over 255 bytes, or more than 64 names, makes the report unreadable for the receiver, which closes the link. The plan never forgets a domain, so the hosts could not recover without a restart.

Ruled out: entries without the right types, states or services (rejected when they are decoded).

Change: fleet_host uses only workers of the failure domains in the settings; other entries are logged and counted as unreadable. Reports of other hosts cannot add domains either.

Measured: fleet_host.worker_of_an_unknown_domain_is_not_used failed before (101 domains reported, the frame was not decoded) and passes now.

--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -177,10 +177,13 @@
         core_.worker_unlisted(record.key, now);
         return true;
     }
-    auto worker = decoders_.worker(record.key, *record.value);
-    if (worker)
-        return core_.worker_listed(std::move(*worker));
-    report_bad_record(fleet::store_topic::workers, record.key, worker.error());
+    const auto listed = decoders_.worker(record.key, *record.value)
+                            .and_then([this](fleet::worker_entry worker) {
+                                return core_.worker_listed(std::move(worker));
+                            });
+    if (listed)
+        return *listed;
+    report_bad_record(fleet::store_topic::workers, record.key, listed.error());
     core_.worker_unlisted(record.key, now);
     return true;
 }
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -138,6 +138,18 @@
     peers_.send(sources[chosen], wire::config_request{config_.newest()});
 }
 
+bool fleet_host::knows_domain(const std::string& domain) const
+{
+    return std::find(domains_.begin(), domains_.end(), domain) != domains_.end();
+}
+
+result<bool, std::string> fleet_host::worker_listed(worker_entry entry)
+{
+    if (!knows_domain(entry.domain))
+        return unexpected{"its failure domain \"" + entry.domain + "\" is unknown"};
+    return workers_.put(std::move(entry));
+}
+
 void fleet_host::host_listed(const wire::host_record& record, time_point now)
 {
     if (record.host != self_.host)
@@ -224,8 +236,10 @@
 {
     directory_.report(from, report, now);
     config_.note_version(report.known_config, now);
-    for (const auto& domain : report.domains)
-        plan_.merge(domain);
+    for (const auto& domain : report.domains) {
+        if (knows_domain(domain.domain))
+            plan_.merge(domain);
+    }
     for (const auto& claim : report.claims) {
         auto& max_epoch = max_epoch_[claim.shard.domain];
         max_epoch = std::max(max_epoch, claim.epoch);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -71,8 +71,8 @@
     void fence_base_granted(std::uint64_t number);
     /// Applies a record of the configuration. An unreadable or older one is ignored.
     void config_read(const std::string& record, time_point now);
-    /// \return true if the worker differs from the known one
-    bool worker_listed(worker_entry entry) { return workers_.put(std::move(entry)); }
+    /// \return true if the worker differs from the known one, or why it is not used
+    result<bool, std::string> worker_listed(worker_entry entry);
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
     /// Every listed worker has been read at least once: this host may claim shards.
     void workers_complete() { workers_complete_ = true; }
@@ -161,6 +161,7 @@
     void claim(const wire::shard& shard, bool from_leaving_owner, time_point now);
     /// Passes changes of the list of workers on to the owned shards.
     void update_workers(time_point now);
+    bool knows_domain(const std::string& domain) const;
     void update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
                         time_point now);
     void yield(const wire::shard& shard, time_point now);
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <fleet/fleet.h>
 #include <gtest/gtest.h>
+#include <wire/frame_codec.h>
 
 namespace chivewharf::fleet {
 namespace {
@@ -584,6 +585,41 @@
     void answer(std::uint64_t /*request*/, job_answer /*answer*/, duration /*after*/) override {}
 };
 
+// Guards against an entry of another writer whose failure domain no host has: if hosts reported it,
+// a long name would make every frame unreadable, and all links between hosts would be closed.
+TEST(fleet_host, worker_of_an_unknown_domain_is_not_used)
+{
+    recorded_worker_port workers;
+    no_peers peers;
+    no_callers callers;
+    metrics::registry metrics;
+    fleet_host host{{"a", "d", "10.0.0.1:1", 1, 250},
+                    {"d"},
+                    workers,
+                    peers,
+                    callers,
+                    metrics,
+                    [](const std::string&) -> result<cluster_config, std::string> {
+                        return unexpected{std::string{"no configuration"}};
+                    },
+                    start};
+    auto entries = workers_of("d", 1);
+    for (int i = 0; i < 100; ++i) {
+        auto odd = worker("odd-" + std::to_string(i), 1000);
+        odd.domain = std::string(1000, 'x') + std::to_string(i);
+        entries.push_back(odd);
+    }
+    for (const auto& entry : entries)
+        host.worker_listed(entry);
+    host.workers_complete();
+    host.tick(start);
+    EXPECT_EQ(host.report(start).domains, (std::vector<wire::domain_shards>{{"d", 1}}));
+    wire::frame_decoder decoder;
+    decoder.handshake_done();
+    decoder.feed(wire::encode(host.report(start)));
+    EXPECT_TRUE(decoder.next());
+}
+
 // Guards against rejections that are not counted: on-call engineers could not tell a host without a
 // configuration from one that gets no requests.
 TEST(fleet_host, refusals_before_a_job_is_taken_are_counted)
