Large and unreadable records of the store neither close links nor stop the reader

What callers saw: nothing yet; found while looking for what one odd entry among the workers' can do to hosts that follow the list.

Cause: records of up to 262,144 bytes were handled as if all were small. - The host that reads for its domain passed on unreadable records whole, each time they were written, to all others. - It put up to 256 records in a frame, which may have 4 MiB: receivers closed the link. - A reply over 8 MiB was asked for again at the same offset until the store had deleted the records: the host did not follow the topic.

Change: of an unreadable record only the key is passed on, as deleted; a message ends at 1 MiB; after a reply that is too large, reads ask for 16 records until the end of the topic is reached. New log line store_reply_too_large.

--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -96,6 +96,11 @@
 {
     const auto now = boot_clock::now();
     topic.reading = false;
+    if (reply.too_large) {
+        topic.reader.reply_too_large(now);
+        read_due_topics();
+        return;
+    }
     if (!reply.answered) {
         if (topic.failures++ == 0)
             log_line{"store_read_failed"}
@@ -145,47 +150,51 @@
         .warn();
 }
 
-bool store_reader::handle_record(fleet::store_topic topic, const fleet::keyed_record& record)
+fleet::relay store_reader::handle_record(fleet::store_topic topic,
+                                         const fleet::keyed_record& record)
 {
+    using fleet::relay;
     if (record.key.empty())
-        return false;
+        return relay::nothing;
     const auto now = boot_clock::now();
     switch (topic) {
     case fleet::store_topic::configuration:
         if (record.value)
             core_.config_read(*record.value, now);
-        return true;
+        return relay::record;
     case fleet::store_topic::workers:
         return handle_worker(record, now);
     case fleet::store_topic::hosts: {
         if (!record.value)
-            return false;
+            return relay::nothing;
         const auto host = decoders_.host(record.key, *record.value);
-        if (host)
-            core_.host_listed(*host, now);
-        else
+        if (!host) {
             report_bad_record(topic, record.key, host.error());
-        return true;
+            return relay::nothing;
+        }
+        core_.host_listed(*host, now);
+        return relay::record;
     }
     }
-    return false;
+    return relay::nothing;
 }
 
-bool store_reader::handle_worker(const fleet::keyed_record& record, time_point now)
+fleet::relay store_reader::handle_worker(const fleet::keyed_record& record, time_point now)
 {
+    using fleet::relay;
     if (!record.value) {
         core_.worker_unlisted(record.key, now);
-        return true;
+        return relay::deletion;
     }
-    const auto listed = decoders_.worker(record.key, *record.value)
-                            .and_then([this](fleet::worker_entry worker) {
-                                return core_.worker_listed(std::move(worker));
-                            });
+    const auto listed =
+        decoders_.worker(record.key, *record.value).and_then([this](fleet::worker_entry worker) {
+            return core_.worker_listed(std::move(worker));
+        });
     if (listed)
-        return *listed;
+        return *listed ? relay::record : relay::nothing;
     report_bad_record(fleet::store_topic::workers, record.key, listed.error());
     core_.worker_unlisted(record.key, now);
-    return true;
+    return relay::deletion;
 }
 
 void store_reader::announce()
--- a/modules/daemon/store_reader.h
+++ b/modules/daemon/store_reader.h
@@ -49,9 +49,8 @@
     void handle_passed_on(const wire::store_records& records, time_point now);
     void note_complete(const followed_topic& topic);
     void announce();
-    /// \return true if the record has to be passed on
-    bool handle_record(fleet::store_topic topic, const fleet::keyed_record& record);
-    bool handle_worker(const fleet::keyed_record& record, time_point now);
+    fleet::relay handle_record(fleet::store_topic topic, const fleet::keyed_record& record);
+    fleet::relay handle_worker(const fleet::keyed_record& record, time_point now);
     void report_bad_record(fleet::store_topic topic, const std::string& key,
                            const std::string& problem);
     duration backoff(std::uint32_t failures);
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -146,7 +146,7 @@
 result<bool, std::string> fleet_host::worker_listed(worker_entry entry)
 {
     if (!knows_domain(entry.domain))
-        return unexpected{"its failure domain \"" + entry.domain + "\" is unknown"};
+        return unexpected{std::string{"its failure domain is unknown"}};
     return workers_.put(std::move(entry));
 }
 
--- a/modules/fleet/ports.h
+++ b/modules/fleet/ports.h
@@ -129,6 +129,7 @@
     bool answered = false;
     bool history_gone = false; ///< the requested records have been deleted
     bool more = false;         ///< further pages follow
+    bool too_large = false;    ///< not answered, since the reply was larger than this host accepts
     std::uint64_t end = 0;     ///< offset after the topic's last record
     std::vector<keyed_record> records;
     std::string problem; ///< error message if it was not answered
--- a/modules/fleet/tests/topic_reader_test.cpp
+++ b/modules/fleet/tests/topic_reader_test.cpp
@@ -3,12 +3,19 @@
 #include <gtest/gtest.h>
 #include <memory>
 #include <set>
+#include <string_view>
+#include <wire/frame_codec.h>
 
 namespace chivewharf::fleet {
 namespace {
 
 constexpr topic_reader::plan plan{milliseconds{0}, milliseconds{500}};
 constexpr duration step = milliseconds{10};
+constexpr std::string_view unreadable_mark = "?";
+/// Limit of a reply that a host accepts, as for the real store.
+constexpr std::size_t max_reply_bytes = std::size_t{8} << 20U;
+/// Largest record that the real store accepts.
+constexpr std::size_t max_record_bytes = 262144;
 
 /// The hosts of a domain, ranked by their index, that follow one topic of a store in virtual time.
 class followed_log {
@@ -29,7 +36,13 @@
             added.reader = std::make_unique<topic_reader>(
                 store_topic::workers, plan, [&added](const keyed_record& record) {
                     auto& known = added.known[record.key];
-                    return std::exchange(known, record.value.value_or("")) != known;
+                    const bool unreadable =
+                        record.value && record.value->starts_with(unreadable_mark);
+                    const auto value = unreadable ? "" : record.value.value_or("");
+                    const bool changed = std::exchange(known, value) != known;
+                    if (unreadable)
+                        return relay::deletion;
+                    return changed ? relay::record : relay::nothing;
                 });
         }
     }
@@ -59,6 +72,8 @@
     std::vector<std::unique_ptr<host>> hosts;
     std::vector<keyed_record> log;
     time_point now{seconds{100}};
+    std::size_t largest_frame = 0;
+    std::size_t relayed_bytes = 0; ///< to each other host
 
 private:
     /// Hosts with a smaller index that the others know to run.
@@ -70,8 +85,18 @@
         reply.answered = true;
         reply.end = log.size();
         if (!request.newest) {
-            reply.records.assign(log.begin() + static_cast<std::ptrdiff_t>(request.offset),
-                                 log.end());
+            auto count = log.size() - request.offset;
+            if (request.max_records > 0)
+                count = std::min(count, request.max_records);
+            const auto first = log.begin() + static_cast<std::ptrdiff_t>(request.offset);
+            reply.records.assign(first, first + static_cast<std::ptrdiff_t>(count));
+            std::size_t bytes = 0;
+            for (const auto& record : reply.records)
+                bytes += record.key.size() + record.value.value_or("").size();
+            if (bytes > max_reply_bytes) {
+                reply.answered = false;
+                reply.too_large = true;
+            }
             return reply;
         }
         std::map<std::string, keyed_record> newest;
@@ -92,9 +117,16 @@
             reading.reader->read_failed(milliseconds{500}, now);
             return;
         }
-        for (const auto& message :
-             reading.reader->read_answered(answer(reading.reader->next()), now))
+        const auto reply = answer(reading.reader->next());
+        if (reply.too_large) {
+            reading.reader->reply_too_large(now);
+            return;
+        }
+        for (const auto& message : reading.reader->read_answered(reply, now)) {
+            largest_frame = std::max(largest_frame, wire::encode(message).size());
+            relayed_bytes += wire::encode(message).size();
             deliver(index, message);
+        }
     }
 
     void deliver(std::size_t from, const wire::store_records& message)
@@ -177,6 +209,49 @@
     EXPECT_EQ(domain.hosts[1]->reads, 1U);
 }
 
+// Guards against links that are closed because a message exceeds the size limit of a frame: a few
+// large records in one reply were passed on together.
+TEST(topic_reader, large_records_are_passed_on_in_frames_within_the_limit)
+{
+    followed_log domain{2};
+    domain.run_for(seconds{1});
+    for (int i = 0; i < 24; ++i)
+        domain.append("w" + std::to_string(i), std::string(max_record_bytes, 'x'));
+    domain.run_for(plan.pause + step);
+    EXPECT_EQ(domain.hosts[1]->known.size(), 24U);
+    EXPECT_LE(domain.largest_frame, wire::max_frame_bytes);
+}
+
+// Guards against an unreadable entry that is written again and again and fills the links between
+// hosts: they need to know only that it names no worker.
+TEST(topic_reader, unreadable_records_are_passed_on_without_their_value)
+{
+    followed_log domain{2};
+    domain.append("w0", "ready");
+    domain.run_for(seconds{1});
+    domain.relayed_bytes = 0;
+    for (int i = 0; i < 10; ++i) {
+        domain.append("w0", std::string{unreadable_mark} + std::string(max_record_bytes / 2, 'x'));
+        domain.run_for(plan.pause + step);
+    }
+    EXPECT_EQ(domain.hosts_that_know("w0", ""), 2U);
+    EXPECT_LE(domain.relayed_bytes, 10U * 1024);
+}
+
+// Guards against a host that no longer follows the topic because the records that it needs next do
+// not fit in a reply.
+TEST(topic_reader, reply_that_is_too_large_is_read_in_parts)
+{
+    followed_log domain{2};
+    domain.run_for(seconds{1});
+    for (int i = 0; i < 80; ++i)
+        domain.append("w" + std::to_string(i), std::string(max_record_bytes, 'x'));
+    domain.append("w0", "leaving");
+    domain.run_for(seconds{1});
+    EXPECT_EQ(domain.hosts_that_know("w0", "leaving"), 2U);
+    EXPECT_EQ(domain.hosts[0]->reader->next().max_records, 0U) << "goes on with small reads";
+}
+
 // Guards against stale messages that take a host back: a sender that is behind has nothing new.
 TEST(topic_reader, messages_of_a_sender_that_is_behind_change_nothing)
 {
--- a/modules/fleet/topic_follower.cpp
+++ b/modules/fleet/topic_follower.cpp
@@ -39,7 +39,7 @@
         offsets_.erase(key);
         changed_({key, std::nullopt, *snapshot_end_});
     }
-    next_ = {false, {}, *snapshot_end_};
+    next_ = {false, {}, *snapshot_end_, 0};
     page_keys_.clear();
     snapshot_end_.reset();
     complete_ = true;
--- a/modules/fleet/topic_follower.h
+++ b/modules/fleet/topic_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,7 @@
         bool newest = true;
         std::string after_key; ///< empty for the first page
         std::uint64_t offset = 0;
+        std::size_t max_records = 0; ///< of a read from an offset; 0: as many as the store returns
     };
 
     using changed_function = std::function<void(const keyed_record&)>;
--- a/modules/fleet/topic_reader.cpp
+++ b/modules/fleet/topic_reader.cpp
@@ -29,15 +29,26 @@
 topic_reader::topic_reader(store_topic topic, plan reading_plan, apply_function apply)
     : topic_{topic}, plan_{reading_plan}, apply_{std::move(apply)},
       follower_{[this](const keyed_record& record) {
-          if (apply_(record))
+          const auto part = apply_(record);
+          if (part == relay::record)
               relevant_.push_back(to_wire(record));
+          else if (part == relay::deletion)
+              relevant_.push_back({record.key, record.offset, true, {}});
       }}
 {
 }
 
+topic_follower::request topic_reader::next() const
+{
+    auto request = follower_.next();
+    if (small_reads_)
+        request.max_records = max_records_of_small_read;
+    return request;
+}
+
 time_point topic_reader::due(std::size_t rank) const
 {
-    if (next().newest || missed_records_ || behind_)
+    if (follower_.next().newest || missed_records_ || behind_)
         return not_before_;
     auto due = refreshed_ + plan_.pause;
     if (rank > 0)
@@ -69,6 +80,7 @@
     // What this host reads on its own account, the other hosts have already.
     const bool own_account = request.newest || std::exchange(missed_records_, false);
     behind_ = !next().newest && next().offset < reply.end;
+    small_reads_ = small_reads_ && behind_;
     if (own_account)
         return {};
     return messages(request.offset);
@@ -81,11 +93,13 @@
     std::size_t taken = 0;
     do {
         wire::store_records message{static_cast<std::uint8_t>(topic_), begin, next().offset, {}};
-        const auto count = std::min(remaining.size() - taken, max_records_per_message);
-        const auto first = remaining.begin() + static_cast<std::ptrdiff_t>(taken);
-        message.records.assign(std::make_move_iterator(first),
-                               std::make_move_iterator(first + static_cast<std::ptrdiff_t>(count)));
-        taken += count;
+        std::size_t bytes = 0;
+        while (taken < remaining.size() && message.records.size() < max_records_per_message &&
+               bytes < full_message_bytes) {
+            auto& record = remaining[taken++];
+            bytes += record.key.size() + record.value.size();
+            message.records.push_back(std::move(record));
+        }
         if (taken < remaining.size())
             message.end = message.records.back().offset + 1;
         begin = message.end;
@@ -99,6 +113,16 @@
     not_before_ = now + backoff;
 }
 
+void topic_reader::reply_too_large(time_point now)
+{
+    log_line{"store_reply_too_large"}
+        .add("topic", to_name(topic_))
+        .add("offset", follower_.next().offset)
+        .warn();
+    small_reads_ = true;
+    not_before_ = now;
+}
+
 void topic_reader::passed_on(const wire::store_records& records, time_point now)
 {
     // The pages of newest records have to be read first, and a sender that is behind this host has
--- a/modules/fleet/topic_reader.h
+++ b/modules/fleet/topic_reader.h
@@ -11,6 +11,12 @@
 
 namespace chivewharf::fleet {
 
+/// What of a record the other hosts of the domain have to learn.
+///  - `nothing`: it changes nothing that they know. `record`: the whole record.
+///  - `deletion`: only that its key holds nothing to use any more, for example since the record
+///    cannot be read.
+enum class relay : std::uint8_t { nothing, record, deletion };
+
 /// Decides when this host reads a topic of the platform's store, and what it passes on to the other
 /// hosts of its failure domain.
 ///
@@ -32,9 +38,13 @@
     static constexpr duration rank_delay = milliseconds{250};
     /// Maximum number of records in a message.
     static constexpr std::size_t max_records_per_message = 256;
+    /// A message ends with the record that brings its keys and values to this size. With the
+    /// largest record that the store accepts, it stays below the size limit of a frame.
+    static constexpr std::size_t full_message_bytes = std::size_t{1} << 20U;
+    /// Maximum number of records in a read after a reply that was too large.
+    static constexpr std::size_t max_records_of_small_read = 16;
 
-    /// \return true if the record changes what this host knows, and has to be passed on
-    using apply_function = std::function<bool(const keyed_record&)>;
+    using apply_function = std::function<relay(const keyed_record&)>;
 
     topic_reader(store_topic topic, plan reading_plan, apply_function apply);
     topic_reader(const topic_reader&) = delete;
@@ -42,7 +52,8 @@
     ~topic_reader() = default;
 
     store_topic topic() const noexcept { return topic_; }
-    const topic_follower::request& next() const noexcept { return follower_.next(); }
+    /// What to read next.
+    topic_follower::request next() const;
 
     /// How long the store may hold the next read.
     duration wait() const noexcept { return plan_.wait; }
@@ -66,6 +77,10 @@
     /// \param backoff time until the next attempt
     void read_failed(duration backoff, time_point now);
 
+    /// The reply to a read was larger than this host accepts. Until the topic's end is reached,
+    /// reads ask for few records.
+    void reply_too_large(time_point now);
+
     /// Processes records that another host has read.
     void passed_on(const wire::store_records& records, time_point now);
 
@@ -81,6 +96,7 @@
     time_point not_before_{};                  ///< end of the back-off after a failed read
     bool missed_records_ = false;              ///< records that were passed on did not arrive here
     bool behind_ = false;                      ///< the last reply did not reach the topic's end
+    bool small_reads_ = false;                 ///< a reply was too large
 };
 
 } // namespace chivewharf::fleet
