--- a/testing/fleet_soak/faults.cpp
+++ b/testing/fleet_soak/faults.cpp
@@ -20,6 +20,25 @@
 /// Share of a worker's orders that are delayed or not answered during such a fault.
 constexpr double disturbed_order_share = 0.3;
 
+/// Entries that another writer might put among those of the workers.
+std::vector<std::string> odd_entries()
+{
+    const auto entry = [](const std::string& address, const std::string& domain,
+                          const std::string& capacity, const std::string& more) {
+        return R"({"service":"desk","state":"ready","born":17,"address":")" + address +
+               R"(","zone":")" + domain + R"(","capacity":{"cpu":)" + capacity + "}" + more + "}";
+    };
+    const std::string known = domain_names[0];
+    constexpr std::size_t depth = 100000;
+    return {entry("127.0.0.1:99999", known, "64000", ""),
+            entry("127.0.0.1:1", std::string(1000, 'z'), "64000", ""),
+            entry("127.0.0.1:1", known, "1e999", ""),
+            entry("127.0.0.1:1", known, "-64000", ""),
+            entry("127.0.0.1:1", known, "64000",
+                  ",\"x\":" + std::string(depth, '[') + std::string(depth, ']')),
+            std::string(depth, '\xff')};
+}
+
 } // namespace
 
 const std::map<std::string, faults::begin_function> faults::kinds{
@@ -47,6 +66,8 @@
     {"worker fails", &faults::worker_fails},
     {"worker crashes", &faults::worker_crashes},
     {"worker leaves", &faults::worker_leaves},
+    {"worker entries lapse", &faults::worker_entries_lapse},
+    {"odd worker entry", &faults::odd_worker_entry},
 };
 
 faults::faults(cluster& target_cluster, evidence& run_evidence, std::uint64_t seed)
@@ -308,6 +329,28 @@
     return [] {};
 }
 
+faults::end_function faults::worker_entries_lapse()
+{
+    std::vector<std::size_t> lapsed;
+    for (std::size_t worker = 0; worker < cluster_.workers().size(); ++worker) {
+        if (random_below(2) == 0)
+            lapsed.push_back(worker);
+    }
+    for (const auto worker : lapsed)
+        cluster_.workers().set_listed(worker, false);
+    return [this, lapsed] {
+        for (const auto worker : lapsed)
+            cluster_.workers().set_listed(worker, true);
+    };
+}
+
+faults::end_function faults::odd_worker_entry()
+{
+    const auto entries = odd_entries();
+    cluster_.store().put("keyed.servers", "odd", entries[random_below(entries.size())]);
+    return [this] { cluster_.store().put("keyed.servers", "odd", ""); };
+}
+
 faults::end_function faults::worker_leaves()
 {
     const auto worker = random_below(cluster_.workers().size());
--- a/testing/fleet_soak/faults.h
+++ b/testing/fleet_soak/faults.h
@@ -73,6 +73,8 @@
     end_function worker_fails();
     end_function worker_crashes();
     end_function worker_leaves();
+    end_function worker_entries_lapse();
+    end_function odd_worker_entry();
 
     cluster& cluster_;
     evidence& evidence_;
--- a/testing/fleet_soak/workers.cpp
+++ b/testing/fleet_soak/workers.cpp
@@ -102,6 +102,8 @@
 void standin_workers::announce(served_worker& worker)
 {
     const auto& entry = worker.sim.entry;
+    if (!worker.listed)
+        return;
     const json value{
         {"service", entry.service},
         {"address", entry.id},
@@ -122,6 +124,16 @@
     announce(workers_[worker]);
 }
 
+void standin_workers::set_listed(std::size_t worker, bool listed)
+{
+    auto& changed = workers_[worker];
+    changed.listed = listed;
+    if (listed)
+        announce(changed);
+    else
+        store_.put("keyed.servers", changed.sim.entry.id, "");
+}
+
 void standin_workers::set_leaving(std::size_t worker, bool leaving)
 {
     workers_[worker].sim.entry.leaving = leaving;
--- a/testing/fleet_soak/workers.h
+++ b/testing/fleet_soak/workers.h
@@ -39,6 +39,8 @@
     void crash(std::size_t worker);
     /// Announces the worker as draining, or as ready again.
     void set_leaving(std::size_t worker, bool leaving);
+    /// Removes the worker's entry from the store, or announces it again. The worker runs on.
+    void set_listed(std::size_t worker, bool listed);
 
 private:
     struct pending_poll {
@@ -50,6 +52,7 @@
         testing_support::sim_worker sim;
         std::unique_ptr<runtime::http_server> server;
         std::list<pending_poll> pending_polls;
+        bool listed = true;
     };
     using exchange_ptr = std::shared_ptr<runtime::http_exchange>;
 
