A page of the store that is too large is not read again without a pause

Cause: store_reader read again at once after each reply that was too large, also where no smaller read is possible (a page of newest records, or a small read itself), and would have read the same reply in a loop.

Change: reply_too_large tells whether a smaller read is possible; if not, the read counts as failed and is repeated after the usual back-off.

--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -96,8 +96,7 @@
 {
     const auto now = boot_clock::now();
     topic.reading = false;
-    if (reply.too_large) {
-        topic.reader.reply_too_large(now);
+    if (reply.too_large && topic.reader.reply_too_large(now)) {
         read_due_topics();
         return;
     }
--- a/modules/fleet/topic_reader.cpp
+++ b/modules/fleet/topic_reader.cpp
@@ -113,14 +113,17 @@
     not_before_ = now + backoff;
 }
 
-void topic_reader::reply_too_large(time_point now)
+bool topic_reader::reply_too_large(time_point now)
 {
+    if (follower_.next().newest || small_reads_)
+        return false;
     log_line{"store_reply_too_large"}
         .add("topic", to_name(topic_))
         .add("offset", follower_.next().offset)
         .warn();
     small_reads_ = true;
     not_before_ = now;
+    return true;
 }
 
 void topic_reader::passed_on(const wire::store_records& records, time_point now)
--- a/modules/fleet/topic_reader.h
+++ b/modules/fleet/topic_reader.h
@@ -79,7 +79,8 @@
 
     /// The reply to a read was larger than this host accepts. Until the topic's end is reached,
     /// reads ask for few records.
-    void reply_too_large(time_point now);
+    /// \return false if no smaller read is possible
+    bool reply_too_large(time_point now);
 
     /// Processes records that another host has read.
     void passed_on(const wire::store_records& records, time_point now);
