A cancellation ends a job at every host and is remembered

Cause: fleet_host::cancel passed the cancellation to all hosts, but they applied it only to shards that they own. The coordinator kept the job; the owner, which had forgotten it, reported to the coordinator once a second only, so that the coordinator took the owner for dead, closed the link and sent the job again. Within a domain the job waited for its deadline, and the caller's next attempt ran it again. Nobody remembered a cancelled job.

Ruled out: an owner that goes on with the tasks (they end at once), and a cancellation that does not arrive (job_cancelled is logged).

Change: a cancellation also ends the job in the host's own table of jobs; the owner tells the host that waits for it. Hosts remember a cancelled job for 15 s (20,000 at most), answer the same job as cancelled and an order for it with the cancellation; a host that passed one on repeats it on links that open later. The caller gets the state "cancelled". A cancellation at the coordinator still costs one message. On a related path, an owner stops a job for a host that gives it up only if that host waits for it.

--- /dev/null
+++ b/modules/fleet/cancelled_jobs.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <base/time.h>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chivewharf::fleet {
+
+/// The jobs that callers have cancelled lately. A job may reach a host after its cancellation: from
+/// a host that has not heard of it, or because its caller sends it once more.
+class cancelled_jobs {
+public:
+    /// A job is forgotten after this time, which is longer than a caller may wait for its answer.
+    static constexpr duration retention = seconds{15};
+    /// Beyond this number, the oldest ones are forgotten earlier.
+    static constexpr std::size_t max_jobs = 20000;
+
+    /// \param passed_on true if this host has told the others of the cancellation
+    /// \return false if the job was known to be cancelled
+    bool add(const std::string& job, bool passed_on, time_point now);
+
+    bool contains(const std::string& job, time_point now) const;
+
+    /// The jobs of whose cancellation this host has told the others.
+    std::vector<std::string> passed_on(time_point now) const;
+
+    /// Forgets the jobs whose time is over.
+    void expire(time_point now);
+
+    std::size_t size() const noexcept { return jobs_.size(); }
+
+private:
+    struct entry {
+        time_point cancelled_at;
+        bool passed_on = false;
+    };
+
+    void forget_oldest();
+
+    std::map<std::string, entry> jobs_;
+    std::deque<std::string> by_age_;
+};
+
+} // namespace chivewharf::fleet
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -8,6 +8,7 @@
 /// goes through the interfaces in `ports.h`.
 
 #include <fleet/adoption_probe.h>
+#include <fleet/cancelled_jobs.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -75,8 +75,8 @@
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
-    : self_{std::move(self)}, domains_{std::move(domains)},
-      worker_port_{workers}, peers_{peers}, metrics_{metrics}, decode_{std::move(decode)},
+    : self_{std::move(self)}, domains_{std::move(domains)}, worker_port_{workers}, peers_{peers},
+      callers_{callers}, metrics_{metrics}, decode_{std::move(decode)},
       directory_{self_.domain}, policy_{self_.host, now}, probe_{workers, workers_}
 {
     router_ = std::make_unique<job_router>(
@@ -180,6 +180,9 @@
         request_host_list(host, now);
     report_cache reports{*this, now};
     send_report(host, reports);
+    // The host may have missed them while it had no link.
+    for (const auto& job : cancelled_.passed_on(now))
+        peers_.send(host, wire::job_cancel{job, 0});
     router_->host_reconnected(host, incarnation, now);
 }
 
@@ -207,12 +210,16 @@
         peers_.send(host, message);
     else if (const auto* order = std::get_if<wire::job_order>(&message))
         handle_order(host, *order, now);
-    else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message))
-        cancel_owned(cancelled->job, now);
+    else if (const auto* given_up = std::get_if<wire::job_cancel>(&message))
+        withdraw_owned(given_up->job, host, now);
 }
 
 void fleet_host::handle_order(const std::string& from, const wire::job_order& order, time_point now)
 {
+    if (from != self_.host && cancelled_.contains(order.job, now)) {
+        peers_.send(from, wire::job_cancel{order.job, 0});
+        return;
+    }
     const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
         // A sender that does not know all workers yet is told of them before the answer.
@@ -253,8 +260,12 @@
         handle_order(host, *order, now);
     else if (const auto* result = std::get_if<wire::job_result>(&message))
         router_->result(host, *result, now);
-    else if (const auto* cancelled = std::get_if<wire::job_cancel>(&message))
-        cancel_owned(cancelled->job, now);
+    else if (const auto* ended = std::get_if<wire::job_cancel>(&message)) {
+        if (ended->attempt == 0)
+            apply_cancellation(ended->job, host, false, now);
+        else
+            withdraw_owned(ended->job, host, now);
+    }
     else if (const auto* received = std::get_if<wire::host_report>(&message))
         handle_report(host, *received, now);
     else if (std::holds_alternative<wire::config_request>(message)) {
@@ -361,6 +372,18 @@
 {
     if (job.durable || job.repeated || job.perpetual || job.fills_leftover || queue.needs_advice)
         return reject(rejection::unsupported, job.job, now);
+    if (cancelled_.contains(job.job, now)) {
+        ++metrics_.counter("chivewharf_job_answers_total",
+                           "answer=\"cancelled\",reason=\"cancelled_before\"");
+        if (log_.should_log(job.job, now))
+            log_line{"job_answered"}
+                .add("job", job.job)
+                .add("answer", to_name(job_answer::cancelled))
+                .add("why", "cancelled_before")
+                .write();
+        callers_.answer(request, job_answer::cancelled, {});
+        return std::nullopt;
+    }
     wire::job_order order;
     order.job = std::move(job.job);
     order.queue = queue.name;
@@ -378,18 +401,32 @@
 
 bool fleet_host::cancel(const std::string& job, time_point now)
 {
-    if (router_->cancel(job, now))
-        return true;
-    // The job's caller may be at another host; the owners of the job stop its tasks.
-    broadcast(wire::job_cancel{job, 0});
-    cancel_owned(job, now);
-    return false;
+    const bool known = router_->knows(job);
+    apply_cancellation(job, self_.host, !known, now);
+    // Any other host may have taken the job.
+    if (!known)
+        broadcast(wire::job_cancel{job, 0});
+    return known;
 }
 
-void fleet_host::cancel_owned(const std::string& job, time_point now)
+void fleet_host::apply_cancellation(const std::string& job, const std::string& from, bool passed_on,
+                                    time_point now)
+{
+    cancelled_.add(job, passed_on, now);
+    router_->cancel(job, now);
+    for (auto& [shard, owned] : owned_) {
+        // The host that waits for the job may not have heard of its cancellation.
+        const auto requester = owned.owner->cancel(job, now);
+        if (requester && *requester != self_.host && *requester != from)
+            peers_.send(*requester, wire::job_cancel{job, 0});
+    }
+}
+
+void fleet_host::withdraw_owned(const std::string& job, const std::string& requester,
+                                time_point now)
 {
     for (auto& [shard, owned] : owned_)
-        owned.owner->cancel(job, now);
+        owned.owner->withdraw(job, requester, now);
 }
 
 std::vector<owner_view> fleet_host::owners(time_point now) const
@@ -769,6 +806,7 @@
     drop_links_after_pause(now);
     drop_silent_hosts(now);
     directory_.expire(now);
+    cancelled_.expire(now);
     update_workers(now);
     fetch_config(now);
     request_host_list(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -4,6 +4,7 @@
 #include <base/time.h>
 #include <cstdint>
 #include <fleet/adoption_probe.h>
+#include <fleet/cancelled_jobs.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
@@ -111,8 +112,8 @@
     /// \return the reason
     rejection reject(rejection reason, const std::string& job, time_point now);
     job_router& router() noexcept { return *router_; }
-    /// Cancels a job wherever it runs.
-    /// \return false if this host does not know it
+    /// Cancels a job wherever it is: no task of it runs on, and none starts later.
+    /// \return false if this host did not take it
     bool cancel(const std::string& job, time_point now);
 
     void tick(time_point now);
@@ -183,8 +184,12 @@
     void send_due_reports(time_point now);
     void fetch_config(time_point now);
     void broadcast(const wire::message& message);
-    /// Cancels the job at the shards that this host owns.
-    void cancel_owned(const std::string& job, time_point now);
+    /// Ends what this host has of a job that its caller has cancelled.
+    /// \param from host that told of it
+    void apply_cancellation(const std::string& job, const std::string& from, bool passed_on,
+                            time_point now);
+    /// The requester has given the job up: ends it at the shards that this host owns.
+    void withdraw_owned(const std::string& job, const std::string& requester, time_point now);
     void hand_over(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent_hosts(time_point now);
@@ -199,12 +204,14 @@
     std::vector<std::string> domains_;
     worker_port& worker_port_;
     peer_port& peers_;
+    caller_port& callers_;
     metrics::registry& metrics_;
     config_decoder decode_;
     request_log log_;
     host_directory directory_;
     worker_directory workers_;
     claim_policy policy_;
+    cancelled_jobs cancelled_;
     std::unique_ptr<job_router> router_;
     shard_plan plan_;
     std::map<wire::shard, owned_shard> owned_;
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -351,14 +351,14 @@
     jobs_.erase(entry);
 }
 
-bool job_router::cancel(const std::string& id, time_point now)
+void job_router::cancel(const std::string& id, time_point now)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
-        return false;
-    send_cancel(found->second, now);
-    finish(found, job_answer::failed, "cancelled", {}, now);
-    return true;
+        return;
+    if (found->second.state == job_state::sent)
+        send_(found->second.owner.host, wire::job_cancel{id, 0}, now);
+    finish(found, job_answer::cancelled, "cancelled", {}, now);
 }
 
 std::size_t job_router::waiting(const std::string& queue) const
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -46,12 +46,11 @@
     /// Accepts a caller's job. `order.remaining_ms` is the time that the caller waits.
     void submit(std::uint64_t request, wire::job_order order, time_point now);
 
-    /// The caller has left, or has cancelled the job.
+    /// The caller has left.
     void caller_left(std::uint64_t request, time_point now);
 
-    /// Cancels a job by its id.
-    /// \return false if the job is not known here
-    bool cancel(const std::string& job, time_point now);
+    /// The job's caller has cancelled it: ends it here and tells its owner.
+    void cancel(const std::string& job, time_point now);
 
     bool knows(const std::string& job) const { return jobs_.contains(job); }
 
@@ -115,6 +114,7 @@
                 duration retry_after, time_point now);
     /// Time after which an unsent job that cannot have run is answered as `not_run`.
     time_point unsent_deadline(const routed_job& job) const;
+    /// Tells the owner of the job, if one has it, that this host has given it up.
     void send_cancel(const routed_job& job, time_point now);
 
     std::string domain_;
--- a/modules/fleet/ports.h
+++ b/modules/fleet/ports.h
@@ -173,7 +173,8 @@
 ///  - `completed`, `failed`: the job has run.
 ///  - `not_run`: no task was or will be started; the caller may submit the job again later.
 ///  - `lost`: tasks may have been started, and their result is unknown.
-enum class job_answer : std::uint8_t { completed, failed, not_run, lost };
+///  - `cancelled`: the caller has cancelled it; no task runs on.
+enum class job_answer : std::uint8_t { completed, failed, not_run, lost, cancelled };
 
 /// Answers callers.
 class caller_port {
@@ -203,6 +204,6 @@
 
 template <>
 struct chivewharf::enum_names<chivewharf::fleet::job_answer> {
-    static constexpr std::array<std::string_view, 4> names{"completed", "failed", "not_run",
-                                                           "lost"};
+    static constexpr std::array<std::string_view, 5> names{"completed", "failed", "not_run", "lost",
+                                                           "cancelled"};
 };
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -651,11 +651,18 @@
     callbacks_.result(job->requester, {id, job->order.attempt, end, retry_after_ms}, now);
 }
 
-void shard_owner::cancel(const std::string& id, time_point now)
+void shard_owner::withdraw(const std::string& id, const std::string& requester, time_point now)
+{
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end() && found->second->requester == requester)
+        cancel(id, now);
+}
+
+std::optional<std::string> shard_owner::cancel(const std::string& id, time_point now)
 {
     const auto job = remove_job(id, now);
     if (!job)
-        return;
+        return std::nullopt;
     ++metrics_.counter("chivewharf_jobs_cancelled_total");
     if (log_.should_log(id, now))
         log_line{"job_cancelled"}
@@ -663,6 +670,7 @@
             .add("age_ms", to_ms(now - job->arrived))
             .add("started", job->started ? "true" : "false")
             .write();
+    return job->requester;
 }
 
 void shard_owner::requester_lost(const std::string& host, time_point now)
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -76,8 +76,13 @@
     /// requester, attempt and deadline.
     void submit(wire::job_order order, const std::string& requester, time_point now);
 
-    /// Stops a job whose caller has left or cancelled it, and reports no result.
-    void cancel(const std::string& job, time_point now);
+    /// Stops a job whose caller has cancelled it, and reports no result.
+    /// \return the host that waits for the job's result; none if the job is not known
+    std::optional<std::string> cancel(const std::string& job, time_point now);
+
+    /// The host has given the job up: stops it and reports no result, unless another host waits for
+    /// it now.
+    void withdraw(const std::string& job, const std::string& requester, time_point now);
 
     /// The link to a host is lost: jobs that it sent are stopped unless it sends them again soon.
     void requester_lost(const std::string& host, time_point now);
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -447,6 +447,22 @@
         << "resources of a task that is being stopped were given out";
 }
 
+// Guards against a job that is lost because a host which its caller has left gives it up, while
+// another host, which the caller has reached since, waits for it.
+TEST(shard_owner, job_is_withdrawn_only_by_the_host_that_waits_for_it)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 64000)});
+    fixture.owner.submit(fixture.order("j", {step(1, 27000)}), "former", start);
+    fixture.owner.submit(fixture.order("j", {step(1, 27000)}), "current", start);
+    fixture.owner.withdraw("j", "former", start);
+    EXPECT_EQ(fixture.owner.jobs(), 1U);
+    EXPECT_TRUE(fixture.port.stops.empty());
+    fixture.owner.withdraw("j", "current", start);
+    EXPECT_EQ(fixture.owner.jobs(), 0U);
+    EXPECT_EQ(fixture.port.stops.size(), 1U);
+}
+
 claim_candidate candidate(const std::string& host, bool home, std::uint64_t base,
                           std::uint64_t epoch = 0)
 {
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -13,6 +13,8 @@
 constexpr duration tick_interval = milliseconds{20};
 constexpr duration resend_after = milliseconds{1300};
 constexpr duration store_interval = milliseconds{500};
+/// No task may start this long after the acknowledgement of its job's cancellation.
+constexpr duration cancellation_limit = seconds{3};
 
 std::string config_text(std::uint64_t version)
 {
@@ -605,6 +607,9 @@
         return;
     check_single_run(order.task, worker.entry.id);
     jobs_.at(job).started = true;
+    const auto& cancelled = jobs_.at(job).cancelled;
+    if (cancelled && now_ - *cancelled > cancellation_limit)
+        violation("start of " + order.task + " after its job was cancelled");
     ++starts_;
     check_capacity(worker);
     schedule(now_ + plan.run_time,
@@ -648,6 +653,16 @@
     attempt(job);
 }
 
+void fleet_simulation::cancel(const std::string& job, const std::string& host)
+{
+    deliver(host, hosts_.at(host)->incarnation, [this, job, host] {
+        hosts_.at(host)->core->cancel(job, now_);
+        const auto found = jobs_.find(job);
+        if (found != jobs_.end())
+            found->second.cancelled = now_;
+    });
+}
+
 void fleet_simulation::attempt(const std::string& job)
 {
     auto& one = jobs_.at(job);
@@ -711,7 +726,8 @@
     if (one.answers.size() >= one.attempts)
         return;
     one.answers.emplace_back(answer);
-    if (answer == "completed" || answer == "failed" || answer == "not_run") {
+    if (answer == "completed" || answer == "failed" || answer == "cancelled" ||
+        answer == "not_run") {
         one.answered = now_;
         const bool all_refused = std::all_of(one.answers.begin(), one.answers.end(),
                                              [](const auto& text) { return text == "not_run"; });
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <metrics/registry.h>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -35,8 +36,9 @@
     struct caller_job {
         std::string id;
         unsigned attempts = 0;
-        std::vector<std::string> answers; ///< one per answered attempt
-        bool started = false;             ///< a task was started on a worker
+        std::vector<std::string> answers;    ///< one per answered attempt
+        bool started = false;                ///< a task was started on a worker
+        std::optional<time_point> cancelled; ///< when the cancellation was acknowledged
         time_point first{};
         time_point answered{};
     };
@@ -52,6 +54,8 @@
     /// Submits a job to a host now. The caller submits it again if its answer is lost.
     void submit(const std::string& job, const std::string& host, std::vector<wire::job_step> steps,
                 duration time_limit = seconds{2});
+    /// The caller cancels the job at a host, which may not be the one that took it.
+    void cancel(const std::string& job, const std::string& host);
     void at(duration in, std::function<void()> call);
 
     // Faults.
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -566,6 +566,94 @@
     EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
 }
 
+std::size_t running_tasks(fleet_simulation& simulation)
+{
+    std::size_t running = 0;
+    for (const auto& id : simulation.worker_names())
+        running += simulation.worker(id).running.size();
+    return running;
+}
+
+// Guards against a job that starts again after its cancellation: the host that took it did not hear
+// of a cancellation at another host, and sent the job to an owner that had forgotten it.
+TEST(fleet_histories, job_that_is_cancelled_at_another_host_ends)
+{
+    for (const std::string canceller : {"host-0-2", "host-1-0"}) {
+        fleet_simulation simulation{{}};
+        simulation.run_for(seconds{3});
+        ASSERT_EQ(owner_of(simulation, "domain-0"), "host-0-0");
+        simulation.submit("a", "host-0-1", {step(2, 27000, 5000)}, seconds{9});
+        simulation.run_for(milliseconds{800});
+        EXPECT_EQ(running_tasks(simulation), 2U);
+        simulation.cancel("a", canceller);
+        simulation.run_for(milliseconds{100});
+        EXPECT_EQ(running_tasks(simulation), 0U);
+        simulation.run_for(seconds{12});
+        EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"cancelled"});
+        EXPECT_EQ(simulation.starts(), 2U);
+    }
+}
+
+// Guards against a job that runs because its cancellation overtakes it, or because its caller sends
+// it once more.
+TEST(fleet_histories, job_that_arrives_after_its_cancellation_does_not_start)
+{
+    for (const std::string taker : {"host-0-0", "host-0-1", "host-0-2"}) {
+        fleet_simulation simulation{{}};
+        simulation.run_for(seconds{3});
+        simulation.cancel("a", "host-0-2");
+        simulation.run_for(milliseconds{100});
+        simulation.submit("a", taker, {step(2, 27000, 900)});
+        simulation.run_for(seconds{4});
+        EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"cancelled"});
+        EXPECT_EQ(simulation.starts(), 0U);
+    }
+}
+
+// Guards against a host that never hears of a cancellation because its links were down then.
+TEST(fleet_histories, host_without_links_hears_of_a_cancellation_later)
+{
+    fleet_simulation simulation{{}};
+    simulation.run_for(seconds{3});
+    simulation.submit("a", "host-0-1", {step(2, 27000, 9000)}, seconds{12});
+    simulation.run_for(milliseconds{200});
+    const auto cut_off = [&simulation](bool cut) {
+        for (const auto& host : simulation.host_names()) {
+            if (host != "host-0-2")
+                simulation.cut("host-0-2", host, cut);
+        }
+    };
+    cut_off(true);
+    simulation.run_for(seconds{4});
+    simulation.cancel("a", "host-0-2");
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(running_tasks(simulation), 2U);
+    cut_off(false);
+    simulation.run_for(seconds{1});
+    EXPECT_EQ(running_tasks(simulation), 0U);
+    EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"cancelled"});
+}
+
+// Guards against a cancellation that is forgotten while its job may still arrive, and against a
+// memory that grows with the number of cancellations.
+TEST(cancelled_jobs, memory_is_bounded_in_time_and_number)
+{
+    cancelled_jobs jobs;
+    const time_point now{seconds{100}};
+    EXPECT_TRUE(jobs.add("a", true, now));
+    EXPECT_FALSE(jobs.add("a", false, now + seconds{1}));
+    EXPECT_TRUE(jobs.contains("a", now + cancelled_jobs::retention));
+    EXPECT_EQ(jobs.passed_on(now), std::vector<std::string>{"a"});
+    EXPECT_FALSE(jobs.contains("a", now + cancelled_jobs::retention + milliseconds{1}));
+    for (std::size_t i = 0; i < cancelled_jobs::max_jobs + 5; ++i)
+        jobs.add("j" + std::to_string(i), false, now + seconds{1});
+    EXPECT_EQ(jobs.size(), cancelled_jobs::max_jobs);
+    EXPECT_FALSE(jobs.contains("a", now + seconds{1}));
+    EXPECT_TRUE(jobs.contains("j5", now + seconds{1}));
+    jobs.expire(now + seconds{2} + cancelled_jobs::retention);
+    EXPECT_EQ(jobs.size(), 0U);
+}
+
 // Guards against a new configuration that every host sends to every other one, and against a host
 // that never gets it because it cannot read the store.
 TEST(fleet_histories, host_without_the_store_fetches_the_configuration_once)
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -318,8 +318,11 @@
     bool operator==(const job_result&) const = default;
 };
 
-/// Cancels a job whose caller has disconnected. The owner stops the job's tasks and sends no
-/// result.
+/// Ends a job.
+///  - `attempt` 0: its caller has cancelled it. Each receiver ends what it has of the job and takes
+///    it for cancelled if it arrives later.
+///  - Otherwise the sender, which had sent that attempt, has given the job up. The owner stops the
+///    job's tasks and sends no result.
 struct job_cancel {
     std::string job;
     std::uint32_t attempt = 1;
