A restarted worker is used only with the entry of its own incarnation

What callers saw: a worker that came back under its id as a smaller kind was given more than it has (LIMIT).

Cause: worker_session compares the incarnations of a worker's replies, but took capacity and labels from an entry of the former incarnation until the new one had been read. Speed, failures and avoidance of the former incarnation were kept for good.

Ruled out: the accounting of tasks of the former incarnation (they end with the first reply of the new one).

Change: a worker is usable only while its entry belongs to the incarnation that answers, or tells none; what was learned of a former incarnation is discarded with its entry.

--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -88,6 +88,17 @@
         worker.session->acquire(token_, now);
 }
 
+void shard_owner::update_entry(managed_worker& worker, const worker_entry& entry, time_point now)
+{
+    if (entry.incarnation != worker.session->entry().incarnation) {
+        model_.forget(entry.id);
+        worker.consecutive_failures = 0;
+        worker.avoid_until = {};
+        worker.last_avoidance = {};
+    }
+    worker.session->update(entry, now);
+}
+
 bool shard_owner::update_workers(const std::vector<worker_entry>& workers, std::uint64_t revision,
                                  time_point now)
 {
@@ -100,7 +111,7 @@
         if (found == workers_.end())
             add_worker(entry, revision, now);
         else if (found->second.session->entry() != entry)
-            found->second.session->update(entry, now);
+            update_entry(found->second, entry, now);
     }
     for (auto it = workers_.begin(); it != workers_.end();) {
         // A worker with tasks is kept until they have ended or their lease has expired.
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -157,6 +157,8 @@
         return order.worker_revision == 0 || worker.added_in <= order.worker_revision;
     }
     void add_worker(const worker_entry& entry, std::uint64_t revision, time_point now);
+    /// Takes over a changed entry. What was learned of an earlier incarnation is discarded.
+    void update_entry(managed_worker& worker, const worker_entry& entry, time_point now);
     void log_takeover();
     bool satisfiable(const wire::job_order& order) const;
     /// Part of the backlog that is due to jobs whose latest start is not after the given one.
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -68,7 +68,8 @@
             entry.address = "10.0.0.1:1";
             entry.service = "s";
             entry.domain = "d";
-            entry.incarnation = 1;
+            if (entry.incarnation == 0)
+                entry.incarnation = 1;
         }
         owner.update_workers(entries, ++revision, start);
         owner.acquire_workers(1, false, start);
@@ -159,6 +160,58 @@
     fixture.port.answer_poll(reply, now);
 }
 
+/// Answers the oldest poll as a worker without tasks of the given incarnation.
+void answer_poll_as(owner_fixture& fixture, std::int64_t incarnation, time_point now)
+{
+    status_reply reply;
+    reply.clock_ms = 1000 * incarnation + to_ms(now - start);
+    reply.incarnation = incarnation;
+    fixture.port.answer_poll(reply, now);
+}
+
+worker_entry listed_worker(std::int64_t incarnation, std::int64_t cpu_milli)
+{
+    auto entry = worker("a", cpu_milli);
+    entry.address = "10.0.0.1:1";
+    entry.service = "s";
+    entry.domain = "d";
+    entry.incarnation = incarnation;
+    return entry;
+}
+
+// Guards against a worker that is filled to the capacity of its former incarnation: it has come
+// back under its id as a smaller kind, and its new entry has not been read yet.
+TEST(shard_owner, restarted_worker_is_used_only_with_its_own_entry)
+{
+    owner_fixture fixture;
+    fixture.add_workers({listed_worker(1, 64000)});
+    fixture.owner.tick(start + seconds{6});
+    answer_poll_as(fixture, 2, start + seconds{6});
+    fixture.owner.submit(fixture.order("j", {step(3, 16000)}), "h", start + seconds{6});
+    EXPECT_TRUE(fixture.port.starts.empty());
+    EXPECT_EQ(fixture.owner.free_milli(), 0U);
+    fixture.owner.update_workers({listed_worker(2, 16000)}, ++fixture.revision, start + seconds{6});
+    fixture.owner.tick(start + seconds{6} + milliseconds{20});
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+}
+
+// The reverse: an entry that is newer than the incarnation which answers, or an older one that
+// arrives late, tells nothing of the worker that answers.
+TEST(shard_owner, entry_of_another_incarnation_does_not_make_a_worker_usable)
+{
+    owner_fixture fixture;
+    fixture.add_workers({listed_worker(2, 16000)});
+    ASSERT_EQ(fixture.owner.usable_workers(), 0U)
+        << "the fixture's worker answers as incarnation 1";
+    fixture.owner.acquire_workers(2, false, start);
+    answer_poll_as(fixture, 2, start);
+    EXPECT_EQ(fixture.owner.usable_workers(), 1U);
+    fixture.owner.update_workers({listed_worker(1, 64000)}, ++fixture.revision, start);
+    EXPECT_EQ(fixture.owner.usable_workers(), 0U);
+    fixture.owner.update_workers({listed_worker(2, 16000)}, ++fixture.revision, start);
+    EXPECT_EQ(fixture.owner.usable_workers(), 1U);
+}
+
 /// An owner with two workers that has started a job of one task for the host "h".
 struct started_job : owner_fixture {
     started_job()
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -50,7 +50,7 @@
 bool worker_session::usable() const noexcept
 {
     return phase_ == phase::owned && misses_ == 0 && inherited_runs_.empty() && !entry_.leaving &&
-           clock_.known();
+           clock_.known() && entry_is_current();
 }
 
 bool worker_session::takeover_complete() const noexcept
@@ -238,6 +238,11 @@
     }
     const bool new_incarnation = incarnation_ != 0 && reply.incarnation != incarnation_;
     if (new_incarnation) {
+        log_line{"worker_restarted"}
+            .add("worker", entry_.id)
+            .add("life", reply.incarnation)
+            .add("listed_life", entry_.incarnation)
+            .write();
         clock_.reset();
         acknowledged_end_ = 0;
         last_expiry_ms_ = reply.clock_ms + to_ms(max_lease);
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -78,8 +78,8 @@
     /// Closes the session: it sends no further orders and no longer calls the observer.
     void close() noexcept { closed_ = true; }
 
-    /// True if tasks may be started: the worker is owned, answers, is not leaving, and runs no
-    /// tasks of an earlier owner.
+    /// True if tasks may be started: the worker is owned, answers, is not leaving, runs no tasks of
+    /// an earlier owner, and its entry is that of the incarnation which answers.
     bool usable() const noexcept;
 
     /// True if no task that an earlier owner started can still run on the worker.
@@ -107,6 +107,11 @@
 private:
     enum class phase : std::uint8_t { unowned, acquiring, owned, fenced };
 
+    /// False if the entry belongs to another incarnation: its capacity and labels may be others.
+    bool entry_is_current() const noexcept
+    {
+        return entry_.incarnation == 0 || entry_.incarnation == incarnation_;
+    }
     worker_address address() const { return {entry_.id, entry_.address}; }
     std::int64_t expiry(time_point now);
     bool poll_due(time_point now) const noexcept;
