The other members of a gang are stopped when one is rejected or ends

What callers saw: a gang that its client sent again took three seconds longer, and one of its members ended "alone" (GANG).

Cause: runs of a job that is sent again by its caller are numbered from 1 again, and workers reject a run that they have had. start_rejected raised the number of the rejected member and left the accepted ones waiting for it; place_gang does nothing while a member is active, so the gang came together only after the time limit of the waiting member.

Ruled out: members that start under different numbers (all take the highest one).

Change: when a member is rejected or ends otherwise than "done", the owner stops the other active members, and starts the gang again once all have ended. A higher first number alone would not do, since a new owner cannot know the runs that workers have had.

--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -550,6 +550,7 @@
     }
     ++metrics_.counter("chivewharf_task_retries_total",
                        "reason=\"" + std::string{to_name(end)} + '"');
+    stop_gang(job, position.step, now);
     enqueue(job);
 }
 
@@ -579,6 +580,7 @@
     --job.steps[position.step].active;
     if (reason == order_outcome::stale_run)
         task.run += stale_run_step;
+    stop_gang(job, position.step, now);
     enqueue(job);
 }
 
@@ -618,6 +620,18 @@
     }
 }
 
+void shard_owner::stop_gang(const job_run& job, std::size_t step, time_point now)
+{
+    if (!job.order.steps[step].gang)
+        return;
+    const auto& tasks = job.steps[step].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto worker = workers_.find(tasks[index].worker);
+        if (tasks[index].state == task_state::active && worker != workers_.end())
+            worker->second.session->stop(job.task_name({step, index}), now);
+    }
+}
+
 std::unique_ptr<job_run> shard_owner::remove_job(const std::string& id, time_point now)
 {
     const auto found = jobs_.find(id);
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -190,6 +190,8 @@
     /// of its task.
     job_run* find_job_of_current_run(const tracked_task& tracked);
     void stop_tasks(const job_run& job, time_point now);
+    /// Stops the members of a gang that are active: they would wait in vain for one that has ended.
+    void stop_gang(const job_run& job, std::size_t step, time_point now);
     void check_progress(time_point now);
     void check_deadlines(time_point now);
     void release_idle_workers(time_point now);
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -485,6 +485,44 @@
     EXPECT_EQ(requesters, std::set<std::string>{"h"});
 }
 
+// Guards against a member of a gang that waits alone until its time limit, because another member
+// was rejected: the worker has had that run in an earlier submission of the job.
+TEST(shard_owner, members_of_a_gang_are_stopped_when_one_is_rejected)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 2000), worker("b", 64000)});
+    auto gang = step(3, 1000);
+    gang.gang = true;
+    fixture.owner.submit(fixture.order("j", {gang}), "h", start);
+    ASSERT_EQ(fixture.port.starts.size(), 3U);
+    order_reply rejected;
+    rejected.outcome = order_outcome::stale_run;
+    rejected.received = start + milliseconds{1};
+    fixture.port.starts[0].reply(rejected);
+    ASSERT_EQ(fixture.port.stops.size(), 2U);
+    EXPECT_EQ(fixture.port.starts.size(), 3U) << "started again beside its former run";
+    for (const auto& stopped : fixture.port.stops) {
+        status_reply reply;
+        reply.clock_ms = 1010;
+        reply.incarnation = 1;
+        reply.ended.push_back({1, stopped.task, stopped.run, task_end::stopped, {}});
+        const auto poll =
+            std::find_if(fixture.port.polls.begin(), fixture.port.polls.end(),
+                         [&](const auto& one) { return one.order.to.id == stopped.to.id; });
+        ASSERT_NE(poll, fixture.port.polls.end());
+        const auto answer = *poll;
+        fixture.port.polls.erase(poll);
+        reply.outcome = order_outcome::accepted;
+        reply.received = start + milliseconds{10};
+        answer.reply(reply);
+    }
+    ASSERT_EQ(fixture.port.starts.size(), 6U);
+    const auto run = fixture.port.starts[3].order.run;
+    EXPECT_GT(run, fixture.port.starts[0].order.run);
+    for (std::size_t i = 4; i < 6; ++i)
+        EXPECT_EQ(fixture.port.starts[i].order.run, run);
+}
+
 // Guards against tasks that run on after their caller has left, and against starts that use their
 // resources before they have ended.
 TEST(shard_owner, cancel_stops_tasks_and_keeps_their_resources_occupied)
