--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -692,24 +692,35 @@
     void answer(std::uint64_t /*request*/, job_answer /*answer*/, duration /*after*/) override {}
 };
 
-// Guards against an entry of another writer whose failure domain no host has: if hosts reported it,
-// a long name would make every frame unreadable, and all links between hosts would be closed.
-TEST(fleet_host, worker_of_an_unknown_domain_is_not_used)
-{
+/// The only host of its domain, without other hosts and callers.
+struct host_fixture {
+    explicit host_fixture(fleet_host::config_decoder decode)
+        : host{{"a", "d", "10.0.0.1:1", 1, 250},
+               {"d"},
+               workers,
+               peers,
+               callers,
+               metrics,
+               std::move(decode),
+               start}
+    {
+    }
+
     recorded_worker_port workers;
     no_peers peers;
     no_callers callers;
     metrics::registry metrics;
-    fleet_host host{{"a", "d", "10.0.0.1:1", 1, 250},
-                    {"d"},
-                    workers,
-                    peers,
-                    callers,
-                    metrics,
-                    [](const std::string&) -> result<cluster_config, std::string> {
-                        return unexpected{std::string{"no configuration"}};
-                    },
-                    start};
+    fleet_host host;
+};
+
+// Guards against an entry of another writer whose failure domain no host has: if hosts reported it,
+// a long name would make every frame unreadable, and all links between hosts would be closed.
+TEST(fleet_host, worker_of_an_unknown_domain_is_not_used)
+{
+    host_fixture fixture{[](const std::string&) -> result<cluster_config, std::string> {
+        return unexpected{std::string{"no configuration"}};
+    }};
+    auto& host = fixture.host;
     auto entries = workers_of("d", 1);
     for (int i = 0; i < 100; ++i) {
         auto odd = worker("odd-" + std::to_string(i), 1000);
@@ -731,28 +742,18 @@
 // configuration from one that gets no requests.
 TEST(fleet_host, refusals_before_a_job_is_taken_are_counted)
 {
-    recorded_worker_port workers;
-    no_peers peers;
-    no_callers callers;
-    metrics::registry metrics;
-    fleet_host host{{"a", "d", "10.0.0.1:1", 1, 250},
-                    {"d"},
-                    workers,
-                    peers,
-                    callers,
-                    metrics,
-                    [](const std::string& record) -> result<cluster_config, std::string> {
-                        cluster_config config;
-                        config.version = 1;
-                        config.record = record;
-                        config.queues = {{"q", "h", "/q/", "s"}};
-                        config.queues[0].needs_advice = true;
-                        return config;
-                    },
-                    start};
+    host_fixture fixture{[](const std::string& record) -> result<cluster_config, std::string> {
+        cluster_config config;
+        config.version = 1;
+        config.record = record;
+        config.queues = {{"q", "h", "/q/", "s"}};
+        config.queues[0].needs_advice = true;
+        return config;
+    }};
+    auto& host = fixture.host;
     const auto refusals = [&](rejection reason) {
-        return metrics.counter("chivewharf_rejections_total",
-                               "reason=\"" + std::string{to_name(reason)} + '"');
+        return fixture.metrics.counter("chivewharf_rejections_total",
+                                       "reason=\"" + std::string{to_name(reason)} + '"');
     };
     EXPECT_EQ(host.find_queue("h", "/q/j", start).error(), rejection::no_config);
     EXPECT_EQ(refusals(rejection::no_config), 1U);
