--- a/modules/fleet/cancelled_jobs.h
+++ b/modules/fleet/cancelled_jobs.h
@@ -13,7 +13,8 @@
 /// a host that has not heard of it, or because its caller sends it once more.
 class cancelled_jobs {
 public:
-    /// A job is forgotten after this time, which is longer than a caller may wait for its answer.
+    /// A job is forgotten after this time. Callers send a job again, and links that were cut open
+    /// again, within seconds.
     static constexpr duration retention = seconds{15};
     /// Beyond this number, the oldest ones are forgotten earlier.
     static constexpr std::size_t max_jobs = 20000;
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -103,7 +103,8 @@
 
     void tick(time_point now);
 
-    /// True if no task that a predecessor started can still run on any worker.
+    /// True if no task that a predecessor started can still run on the workers in use. A
+    /// predecessor may have used others.
     bool takeover_complete() const;
 
     /// Free processor time of the usable workers, in thousandths of a core.
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -333,10 +333,11 @@
 struct shard_claim {
     wire::shard shard;
     std::uint64_t epoch = 0;
-    bool takeover_complete = false; ///< no task that a predecessor started can still run
-    std::uint64_t free_milli = 0;   ///< free capacity of the usable workers, thousandths of a core
-    std::uint32_t backlog_ms = 0;   ///< time needed to run the queued work
-    bool leaving = false;           ///< the sender wants a host with precedence to claim the shard
+    /// No task that a predecessor started can still run on the workers that the sender uses.
+    bool takeover_complete = false;
+    std::uint64_t free_milli = 0; ///< free capacity of the usable workers, thousandths of a core
+    std::uint32_t backlog_ms = 0; ///< time needed to run the queued work
+    bool leaving = false;         ///< the sender wants a host with precedence to claim the shard
     std::uint64_t worker_revision =
         0; ///< rises with each change of the workers in use; 0: not told
     /// Ids of the workers on which the sender may start tasks; empty if the receiver has had those
