--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -436,7 +436,8 @@
         if (!owned.owner->leaving() && !owned.fenced_at)
             all.push_back({shard, self_.host, self_.incarnation, owned.epoch,
                            owned.owner->takeover_complete(), owned.owner->free_milli(),
-                           owned.owner->backlog(), owned.owner->workers_in_use()});
+                           owned.owner->backlog(), owned.owner->workers_in_use(),
+                           owned.owner->room(now), now});
     }
     for (const auto& [name, host] : directory_.hosts()) {
         if (!host.linked || !directory_.alive(host, now))
@@ -449,7 +450,8 @@
             all.push_back({claim.shard, name, host.incarnation, claim.epoch,
                            claim.takeover_complete, claim.free_milli,
                            milliseconds{claim.backlog_ms},
-                           workers == host.workers.end() ? nullptr : workers->second});
+                           workers == host.workers.end() ? nullptr : workers->second, claim.room,
+                           host.reported});
         }
     }
     return all;
@@ -727,10 +729,15 @@
     current.domains = plan_.all();
     current.accepts_store_records = true;
     for (const auto& [shard, owned] : owned_)
-        current.claims.push_back(
-            {shard, owned.epoch, owned.owner->takeover_complete(), owned.owner->free_milli(),
-             static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
-             leaving_ || owned.offered_at, owned.owner->workers_in_use()->revision});
+        current.claims.push_back({shard,
+                                  owned.epoch,
+                                  owned.owner->takeover_complete(),
+                                  owned.owner->free_milli(),
+                                  static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
+                                  leaving_ || owned.offered_at,
+                                  owned.owner->workers_in_use()->revision,
+                                  {},
+                                  owned.owner->room(now)});
     return current;
 }
 
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -74,6 +74,7 @@
         return;
     found->second.workers = worker_lists(report.claims, found->second.workers);
     found->second.report = std::move(report);
+    found->second.reported = now;
     found->second.last_heard = now;
 }
 
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -23,6 +23,7 @@
     bool has_jobs_here = false;                 ///< it waits for results of this host's shards
     std::optional<time_point> jobs_there_since; ///< since when this host has jobs at it
     std::optional<wire::host_report> report;
+    time_point reported{};                             ///< when `report` arrived
     std::map<wire::shard, shared_worker_list> workers; ///< of the shards that it owns, if told
     std::uint64_t worker_revision_sent = 0; ///< newest revision of this host's workers sent there
 
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -24,9 +24,11 @@
     std::uint64_t incarnation = 0; ///< of its process
     std::uint64_t epoch = 0;
     bool takeover_complete = false;
-    std::uint64_t free_milli = 0; ///< free processor time, thousandths of a core
-    duration backlog{};           ///< estimated time in which it can run its waiting tasks
-    shared_worker_list workers;   ///< none if the owner has not told them
+    std::uint64_t free_milli = 0;         ///< free processor time, thousandths of a core
+    duration backlog{};                   ///< estimated time in which it can run its waiting tasks
+    shared_worker_list workers;           ///< none if the owner has not told them
+    std::optional<wire::shard_room> room; ///< none if the owner has not told it
+    time_point reported{};                ///< when the owner's last report arrived
 };
 
 /// Routes the jobs of the callers that reached this host: chooses an owner for each job, sends the
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -184,6 +184,11 @@
     return backlog_before(time_point::max());
 }
 
+std::optional<wire::shard_room> shard_owner::room(time_point /*now*/) const
+{
+    return std::nullopt;
+}
+
 std::uint64_t shard_owner::free_milli() const
 {
     std::uint64_t free = 0;
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -112,6 +112,8 @@
     /// Estimated time in which the usable workers can run all waiting tasks; 10 s if none is
     /// usable.
     duration backlog() const;
+    /// What the shard can still take, for the report to other hosts; none if it is not known.
+    std::optional<wire::shard_room> room(time_point now) const;
     std::size_t jobs() const noexcept { return jobs_.size(); }
     std::size_t workers() const noexcept { return workers_.size(); }
     std::size_t usable_workers() const;
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -212,6 +212,19 @@
     return fbs::Createjob_cancel(b, text(b, m.job), m.attempt);
 }
 
+/// Without a vector of waits, the receiver takes the room for unknown.
+Offset<flatbuffers::Vector<const fbs::priority_wait*>>
+write_waits(FlatBufferBuilder& b, const std::optional<shard_room>& room)
+{
+    if (!room)
+        return 0;
+    std::vector<fbs::priority_wait> waits;
+    waits.reserve(room->waits.size());
+    for (const auto& wait : room->waits)
+        waits.emplace_back(wait.priority, wait.wait_ms);
+    return b.CreateVectorOfStructs(waits);
+}
+
 auto write(FlatBufferBuilder& b, const host_report& m)
 {
     std::vector<Offset<fbs::shard_claim>> claims;
@@ -220,14 +233,16 @@
         claims.push_back(fbs::Createshard_claim(
             b, text(b, claim.shard.domain), claim.epoch, claim.takeover_complete, claim.free_milli,
             claim.backlog_ms, claim.shard.index, claim.shard.count, claim.leaving,
-            claim.worker_revision, b.CreateVectorOfStrings(claim.workers)));
+            claim.worker_revision, b.CreateVectorOfStrings(claim.workers),
+            claim.room ? claim.room->startable_tasks : 0, write_waits(b, claim.room)));
     std::vector<Offset<fbs::domain_shards>> domains;
     domains.reserve(m.domains.size());
     for (const auto& known : m.domains)
         domains.push_back(fbs::Createdomain_shards(b, text(b, known.domain), known.count));
     return fbs::Createhost_report(b, m.fence_base, m.known_config, m.leaving, m.able,
                                   b.CreateVector(claims), m.processor_milli,
-                                  b.CreateVector(domains), m.accepts_store_records);
+                                  b.CreateVector(domains), m.accepts_store_records,
+                                  m.operator_offset, b.CreateVectorOfStrings(m.drained_domains));
 }
 
 auto write(FlatBufferBuilder& b, const host_records& m)
@@ -579,6 +594,19 @@
     return read_field(m.job, t.job());
 }
 
+bool read(std::optional<shard_room>& room, const fbs::shard_claim& t)
+{
+    if (t.waits() == nullptr)
+        return true;
+    if (t.waits()->size() > max_priority_waits)
+        return false;
+    room.emplace();
+    room->startable_tasks = t.startable_tasks();
+    for (const auto* wait : *t.waits())
+        room->waits.push_back({wait->priority(), wait->wait_ms()});
+    return true;
+}
+
 bool read(host_report& m, const fbs::host_report& t)
 {
     m.fence_base = t.fence_base();
@@ -605,10 +633,15 @@
         claim.backlog_ms = table->backlog_ms();
         claim.leaving = table->leaving();
         claim.worker_revision = table->worker_revision();
-        if (!read(claim.shard, *table) || !read_field(claim.workers, table->workers()))
+        if (!read(claim.shard, *table) || !read_field(claim.workers, table->workers()) ||
+            !read(claim.room, *table))
             return false;
     }
-    return true;
+    m.operator_offset = t.operator_offset();
+    if (t.drained_domains() == nullptr)
+        return true;
+    return t.drained_domains()->size() <= max_drained_domains &&
+           read_field(m.drained_domains, t.drained_domains());
 }
 
 bool read(host_records& m, const fbs::host_records& t)
--- a/modules/wire/frame_codec.h
+++ b/modules/wire/frame_codec.h
@@ -31,6 +31,8 @@
 inline constexpr std::size_t max_job_steps = 256;
 inline constexpr std::size_t max_claims = 64;
 inline constexpr std::size_t max_store_records = 1024;
+inline constexpr std::size_t max_priority_waits = 8;
+inline constexpr std::size_t max_drained_domains = 64;
 /// Maximum number of shards in a failure domain.
 inline constexpr std::uint32_t max_shards = 4096;
 
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -4,6 +4,7 @@
 #include <base/digest.h>
 #include <base/enum_names.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -329,6 +330,20 @@
     bool operator==(const job_cancel&) const = default;
 };
 
+/// Expected time until a job of the priority that arrives now can start.
+struct priority_wait {
+    std::uint32_t priority = 0; ///< 0 is the highest priority
+    std::uint32_t wait_ms = 0;
+    bool operator==(const priority_wait&) const = default;
+};
+
+/// What a shard can still take.
+struct shard_room {
+    std::uint32_t startable_tasks = 0; ///< tasks of the shard's typical demand that fit now
+    std::vector<priority_wait> waits;  ///< by rising priority number
+    bool operator==(const shard_room&) const = default;
+};
+
 /// States that the sender owns a shard, that is, orders all task starts at the shard's workers.
 struct shard_claim {
     wire::shard shard;
@@ -343,6 +358,7 @@
     /// Ids of the workers on which the sender may start tasks; empty if the receiver has had those
     /// of this revision.
     std::vector<std::string> workers{};
+    std::optional<shard_room> room{}; ///< none if the sender does not tell
     bool operator==(const shard_claim&) const = default;
 };
 
@@ -363,6 +379,9 @@
     std::uint32_t processor_milli = 0; ///< CPU available to the host, thousandths of a core
     std::vector<domain_shards> domains;
     bool accepts_store_records = false; ///< the host accepts `store_records`
+    /// End of the part of the operators' topic that `drained_domains` is based on; 0: not told.
+    std::uint64_t operator_offset = 0;
+    std::vector<std::string> drained_domains{}; ///< failure domains in which no task may start
     bool operator==(const host_report&) const = default;
 };
 
--- a/modules/wire/tests/wire_test.cpp
+++ b/modules/wire/tests/wire_test.cpp
@@ -57,10 +57,14 @@
                         8,
                         true,
                         true,
-                        {{{"rosyth", 2, 3}, 9, true, 64000, 12, true, 6, {"w-1", "w-2"}}},
+                        {{{"rosyth", 2, 3}, 9, true, 64000, 12, true, 6, {"w-1", "w-2"}, {}},
+                         {{"rosyth", 0, 3}, 4, true, 0, 0, false, 6, {}, shard_room{12, {{0, 5}}}},
+                         {{"rosyth", 1, 3}, 4, true, 0, 0, false, 6, {}, shard_room{}}},
                         250,
                         {{"rosyth", 3}},
-                        true},
+                        true,
+                        17,
+                        {"rosyth"}},
             host_records{{{"host-a", "rosyth", "10.0.0.1:99"}}},
             worker_release{"rosyth", "w-1"},
             store_records{1, 7, 9, {{"w-1", 7, false, binary_body}, {"w-2", 8, true, {}}}}};
@@ -138,6 +142,8 @@
     member_entry odd_state;
     odd_state.state = static_cast<member_state>(3);
     const std::vector<std::string> too_many(max_report_entries + 1);
+    const std::vector<std::string> too_many_domains(max_drained_domains + 1, "d");
+    const shard_room too_many_waits{0, std::vector<priority_wait>(max_priority_waits + 1)};
     const std::vector<message> bad{
         forward{1, "c", "s", static_cast<operation>(3), 0, ""},
         usage_average{1, 1, false, {1, 2}, {1.0F}},
@@ -146,7 +152,10 @@
         member_report{{odd_state}, false},
         slot_return{{}, {std::string(max_name_bytes + 1, 'w')}},
         slot_return{{}, std::vector<std::string>(max_report_entries + 1)},
-        host_report{1, 1, false, true, {{{"d", 0, 1}, 1, true, 0, 0, false, 1, too_many}}, 0, {}}};
+        host_report{1, 1, false, true, {{{"d", 0, 1}, 1, true, 0, 0, false, 1, too_many}}, 0, {}},
+        host_report{
+            1, 1, false, true, {{{"d", 0, 1}, 1, true, 0, 0, false, 1, {}, too_many_waits}}, 0, {}},
+        host_report{1, 1, false, true, {}, 0, {}, true, 1, too_many_domains}};
     for (const auto& m : bad) {
         auto decoder = authenticated_decoder();
         const auto code = error_of(decoder, encode(m));
