--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -228,7 +228,9 @@
             report_cache reports{*this, now};
             send_report(from, reports);
         }
-        found->second.owner->submit(order, from, now);
+        const bool remote = sender == nullptr ? self_.domain != order.shard.domain
+                                              : sender->record.domain != order.shard.domain;
+        found->second.owner->submit(order, from, now, remote);
         return;
     }
     const wire::job_result refusal{order.job, order.attempt, wire::job_end::not_owner, 0};
--- a/modules/fleet/job_run.cpp
+++ b/modules/fleet/job_run.cpp
@@ -45,6 +45,17 @@
     return count;
 }
 
+std::int64_t job_run::waiting_demand() const
+{
+    std::int64_t demand = 0;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const auto waiting = steps[i].tasks.size() - steps[i].done - steps[i].active;
+        if (step_ready(i))
+            demand += static_cast<std::int64_t>(waiting) * order.steps[i].cpu_milli;
+    }
+    return demand;
+}
+
 bool job_run::completed() const noexcept
 {
     return std::all_of(steps.begin(), steps.end(),
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -58,6 +58,9 @@
     /// Estimated processor time of all waiting tasks, in thousandths of a core times milliseconds.
     std::uint64_t waiting_work() const;
 
+    /// Processor demand of the waiting tasks in steps that are ready, in thousandths of a core.
+    std::int64_t waiting_demand() const;
+
     /// `JOB.0.STEP.INDEX`
     std::string task_name(task_position position) const;
 
@@ -74,6 +77,7 @@
     time_point arrived; ///< when the host that the caller reached received it
     time_point deadline;
     std::vector<step_run> steps;
+    std::uint32_t priority = 0;               ///< with which it waits
     bool waits = false;                       ///< it is in the owner's queue
     bool started = false;                     ///< the start of a task was ordered
     std::optional<time_point> orphaned_since; ///< when the link to the requester was lost
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -20,10 +20,43 @@
 constexpr duration max_avoidance = seconds{8};
 /// Safety factor on the expected run time in the check whether a placement meets the objective.
 constexpr double run_time_margin = 1.3;
-constexpr std::uint32_t retry_after_ms = 500;
+/// Sent with refusals for which no forecast is made.
+constexpr std::uint32_t default_retry_after_ms = 500;
+/// Interval at which waiting jobs are checked against the forecast.
+constexpr duration waiting_check_interval = milliseconds{20};
+/// Number of jobs behind the first one without resources that are tried in its place. It bounds the
+/// cost of a decision while many jobs wait.
+constexpr int max_backfill_depth = 32;
 /// Added to the run number of a task after a worker has rejected it as stale.
 constexpr std::uint32_t stale_run_step = 8;
 
+/// Number of tasks with the demand that fit into the free resources.
+std::uint64_t fitting_tasks(const resources& free, const resources& demand)
+{
+    auto tasks = std::numeric_limits<std::int64_t>::max();
+    if (demand.cpu_milli > 0)
+        tasks = std::min(tasks, free.cpu_milli / demand.cpu_milli);
+    if (demand.memory_mb > 0)
+        tasks = std::min(tasks, free.memory_mb / demand.memory_mb);
+    if (demand.accelerators > 0)
+        tasks = std::min(tasks, free.accelerators / demand.accelerators);
+    const bool bounded = tasks != std::numeric_limits<std::int64_t>::max();
+    return bounded ? static_cast<std::uint64_t>(std::max<std::int64_t>(tasks, 0)) : 0;
+}
+
+/// The largest demand of a task of the job, in each kind of resource.
+resources largest_demand(const wire::job_order& order)
+{
+    resources largest;
+    for (const auto& step : order.steps) {
+        const auto demand = demand_of(step);
+        largest.cpu_milli = std::max(largest.cpu_milli, demand.cpu_milli);
+        largest.memory_mb = std::max(largest.memory_mb, demand.memory_mb);
+        largest.accelerators = std::max(largest.accelerators, demand.accelerators);
+    }
+    return largest;
+}
+
 bool has_label(const worker_entry& worker, const std::string& label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -171,10 +204,12 @@
     if (capacity == 0)
         return seconds{10};
     std::uint64_t work = 0;
-    for (const auto& waiting : waiting_) {
-        if (waiting.latest_start > latest_start)
-            break;
-        work += jobs_.at(waiting.job)->waiting_work();
+    for (const auto priority : queue_.priorities()) {
+        for (const auto& waiting : queue_.jobs(priority)) {
+            if (waiting.latest_start > latest_start)
+                break;
+            work += jobs_.at(waiting.job)->waiting_work();
+        }
     }
     return milliseconds{work / capacity};
 }
@@ -184,9 +219,56 @@
     return backlog_before(time_point::max());
 }
 
-std::optional<wire::shard_room> shard_owner::room(time_point /*now*/) const
+std::uint64_t shard_owner::startable_tasks(const resources& demand) const
 {
-    return std::nullopt;
+    std::uint64_t tasks = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (accepts_tasks(worker))
+            tasks += fitting_tasks(worker.session->free(), demand);
+    }
+    return tasks;
+}
+
+std::uint64_t shard_owner::used_milli() const
+{
+    std::uint64_t used = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (accepts_tasks(worker))
+            used += static_cast<std::uint64_t>(std::max<std::int64_t>(
+                worker.session->entry().capacity.cpu_milli - worker.session->free().cpu_milli, 0));
+    }
+    return used;
+}
+
+shard_load shard_owner::load_for(std::uint32_t priority, const resources& demand,
+                                 double ahead_milli, time_point now) const
+{
+    shard_load load;
+    load.usable_milli =
+        static_cast<double>(startable_tasks(demand)) * static_cast<double>(demand.cpu_milli);
+    load.used_milli = static_cast<double>(used_milli());
+    load.ahead_milli = ahead_milli;
+    load.more_urgent_rate = profile_.more_urgent_rate(priority, now);
+    load.mean_run_time = profile_.mean_run_time(now);
+    return load;
+}
+
+std::optional<wire::shard_room> shard_owner::room(time_point now) const
+{
+    if (!by_priority())
+        return std::nullopt;
+    wire::shard_room room;
+    const resources typical{profile_.typical_demand(now), 0, 0};
+    room.startable_tasks = static_cast<std::uint32_t>(startable_tasks(typical));
+    for (const auto priority : profile_.priorities()) {
+        const auto ahead = static_cast<double>(queue_.demand_milli(priority));
+        const auto wait =
+            forecast_wait(load_for(priority, typical, ahead, now),
+                          static_cast<double>(typical.cpu_milli), job_queue::reserved_share);
+        room.waits.push_back(
+            {priority, static_cast<std::uint32_t>(to_ms(wait.value_or(duration{0})))});
+    }
+    return room;
 }
 
 std::uint64_t shard_owner::free_milli() const
@@ -229,21 +311,66 @@
 
 void shard_owner::enqueue(job_run& job)
 {
-    // The latest start changes as run times are learned, so it does not tell whether the job is in
-    // the queue already.
-    if (job.placeable() > 0 && !std::exchange(job.waits, true))
-        waiting_.insert({latest_start(job), job.order.job});
+    // The latest start changes as run times are learned; a job keeps the one of its first entry.
+    if (job.placeable() == 0 || std::exchange(job.waits, true))
+        return;
+    queue_.put(queue_entry(job));
 }
 
-void shard_owner::submit(wire::job_order order, const std::string& requester, time_point now)
+queued_job shard_owner::queue_entry(const job_run& job) const
+{
+    if (!by_priority())
+        return {0, false, job.waiting_demand(), latest_start(job), job.order.job};
+    return {job.priority, job.started, job.waiting_demand(), latest_start(job), job.order.job};
+}
+
+void shard_owner::note_demand(const job_run& job, time_point now)
+{
+    const bool former_order = !by_priority();
+    for (const auto& step : job.order.steps)
+        profile_.task_demand(job.priority, step.cpu_milli, step.count, now);
+    if (!former_order || !by_priority())
+        return;
+    for (const auto& [id, one] : jobs_) {
+        if (one->waits)
+            queue_.put(queue_entry(*one));
+    }
+}
+
+std::optional<duration> shard_owner::excessive_wait(const job_run& job, time_point now) const
+{
+    const auto ahead = static_cast<double>(queue_.demand_milli(job.priority));
+    const auto load = load_for(job.priority, largest_demand(job.order), ahead, now);
+    const auto wait =
+        forecast_wait(load, static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
+    // A job with nothing ahead of it starts as soon as possible, however many tasks it has.
+    if (!wait || ahead == 0 || now + *wait <= latest_start(job))
+        return std::nullopt;
+    return wait;
+}
+
+std::uint32_t shard_owner::retry_after_ms(const job_run& job, time_point now) const
+{
+    if (!by_priority())
+        return default_retry_after_ms;
+    const auto ahead = static_cast<double>(queue_.demand_milli(job.priority));
+    const auto load = load_for(job.priority, largest_demand(job.order), ahead, now);
+    const auto wait =
+        forecast_wait(load, static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
+    return static_cast<std::uint32_t>(
+        to_ms(retry_delay(wait.value_or(duration{0}), job.priority, job.order.job)));
+}
+
+void shard_owner::submit(wire::job_order order, const std::string& requester, time_point now,
+                         bool remote)
 {
     const auto known = jobs_.find(order.job);
     if (known != jobs_.end()) {
         auto& job = *known->second;
         if (order.worker_revision != 0 && order.worker_revision < job.order.worker_revision)
             return callbacks_.result(
-                requester, {order.job, order.attempt, wire::job_end::not_owner, retry_after_ms},
-                now);
+                requester,
+                {order.job, order.attempt, wire::job_end::not_owner, default_retry_after_ms}, now);
         job.requester = requester;
         job.order.worker_revision = order.worker_revision;
         job.order.attempt = order.attempt;
@@ -251,39 +378,107 @@
         job.deadline = now + milliseconds{order.remaining_ms};
         return;
     }
-    const wire::job_result refusal{order.job, order.attempt, wire::job_end::overloaded,
-                                   retry_after_ms};
     auto refuse = [&](wire::job_end reason) {
-        auto result = refusal;
-        result.end = reason;
         count_end(reason);
         if (log_.should_log(order.job, now))
             log_line{"job_refused"}
                 .add("job", order.job)
                 .add("shard", to_text(shard_))
                 .add("why", to_name(reason))
-                .add("waiting", std::uint64_t{waiting_.size()})
+                .add("waiting", std::uint64_t{queue_.size()})
                 .add("free_milli", free_milli())
                 .add("usable_workers", std::uint64_t{usable_workers()})
                 .write();
-        callbacks_.result(requester, result, now);
+        callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
+                          now);
     };
     if (leaving_ || suspended_ || token_ == 0)
         return refuse(wire::job_end::not_owner);
     if (!satisfiable(order))
         return refuse(wire::job_end::impossible);
     auto job = std::make_unique<job_run>(std::move(order), requester, now);
-    const auto start_by = latest_start(*job);
-    if (now + backlog_before(start_by) > start_by + milliseconds{job->order.target_ms} &&
-        !waiting_.empty()) {
-        order = std::move(job->order); // `refuse` logs the id in `order`
-        return refuse(wire::job_end::overloaded);
-    }
+    job->priority =
+        std::min(job->order.priority + (remote ? 1 : 0), demand_profile::max_priorities - 1);
+    note_demand(*job, now);
+    if (!admit(*job, now))
+        return;
     auto& added = *jobs_.emplace(job->order.job, std::move(job)).first->second;
     enqueue(added);
     schedule(now);
 }
 
+bool shard_owner::admit(const job_run& job, time_point now)
+{
+    const auto start_by = latest_start(job);
+    if (by_priority()) {
+        const auto wait = excessive_wait(job, now);
+        if (!wait)
+            return true;
+        refuse_overloaded(job, "forecast", *wait, now);
+        return false;
+    }
+    const auto wait = backlog_before(start_by);
+    if (queue_.empty() || now + wait <= start_by + milliseconds{job.order.target_ms})
+        return true;
+    refuse_overloaded(job, "backlog", wait, now);
+    return false;
+}
+
+void shard_owner::refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
+                                    time_point now)
+{
+    count_end(wire::job_end::overloaded);
+    ++metrics_.counter("chivewharf_overload_refusals_total",
+                       "reason=\"" + std::string{reason} + "\",priority=\"" +
+                           std::to_string(job.priority) + '"');
+    const auto retry_after = retry_after_ms(job, now);
+    if (log_.should_log(job.order.job, now))
+        log_line{"job_refused"}
+            .add("job", job.order.job)
+            .add("shard", to_text(shard_))
+            .add("why", to_name(wire::job_end::overloaded))
+            .add("reason", reason)
+            .add("priority", job.priority)
+            .add("wait_ms", to_ms(wait))
+            .add("slack_ms", to_ms(latest_start(job) - now))
+            .add("ahead_milli", queue_.demand_milli(job.priority))
+            .add("need_milli", job.waiting_demand())
+            .add("free_milli", free_milli())
+            .add("used_milli", used_milli())
+            .add("run_ms", to_ms(profile_.mean_run_time(now).value_or(duration{0})))
+            .add("retry_after_ms", retry_after)
+            .write();
+    callbacks_.result(job.requester,
+                      {job.order.job, job.order.attempt, wire::job_end::overloaded, retry_after},
+                      now);
+}
+
+void shard_owner::check_waiting(time_point now)
+{
+    if (!by_priority() || leaving_ || suspended_)
+        return;
+    std::vector<std::pair<std::string, duration>> hopeless;
+    const resources typical{profile_.typical_demand(now), 0, 0};
+    double ahead = 0;
+    for (const auto priority : queue_.priorities()) {
+        auto load = load_for(priority, typical, ahead, now);
+        for (const auto& waiting : queue_.jobs(priority)) {
+            load.ahead_milli = ahead;
+            const auto wait = forecast_wait(load, static_cast<double>(waiting.demand_milli),
+                                            job_queue::reserved_share);
+            const bool late = wait && now + *wait > waiting.latest_start;
+            if (late && ahead > 0 && !jobs_.at(waiting.job)->started)
+                hopeless.emplace_back(waiting.job, *wait);
+            else
+                ahead += static_cast<double>(waiting.demand_milli);
+        }
+    }
+    for (const auto& [id, wait] : hopeless) {
+        const auto job = remove_job(id, now);
+        refuse_overloaded(*job, "hopeless", wait, now);
+    }
+}
+
 void shard_owner::availability_changed(time_point now)
 {
     schedule(now);
@@ -297,34 +492,52 @@
     if (scheduling_ || leaving_ || suspended_ || paused)
         return;
     scheduling_ = true;
-    // By service: processor demand for which no worker was found. Demands that are at least as
-    // large are skipped.
     std::map<std::string, std::int64_t> blocked;
-    for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const auto priorities = queue_.priorities();
+    for (const auto priority : priorities) {
+        if (priority != priorities.front())
+            start_waiting(priority, blocked, true, now);
+    }
+    for (const auto priority : priorities)
+        start_waiting(priority, blocked, false, now);
+    scheduling_ = false;
+}
+
+void shard_owner::start_waiting(std::uint32_t priority,
+                                std::map<std::string, std::int64_t>& blocked,
+                                bool reserved_share_only, time_point now)
+{
+    const auto& waiting = queue_.jobs(priority);
+    int skipped = 0;
+    for (auto it = waiting.begin(); it != waiting.end() && skipped < max_backfill_depth;) {
+        if (reserved_share_only && !queue_.below_reserved_share(priority, now))
+            return;
         auto& job = *jobs_.at(it->job);
-        if (job.orphaned_since) {
-            ++it;
+        // The job's place changes when some of its tasks have been started.
+        ++it;
+        if (job.orphaned_since)
             continue;
-        }
         const auto smallest = std::min_element(
             job.order.steps.begin(), job.order.steps.end(),
             [](const auto& a, const auto& b) { return a.cpu_milli < b.cpu_milli; });
         const auto found = blocked.find(job.order.service);
         if (found != blocked.end() && smallest->cpu_milli >= found->second) {
-            ++it;
+            ++skipped;
             continue;
         }
+        const auto former = job.placeable();
         if (place(job, now)) {
             job.waits = false;
-            it = waiting_.erase(it);
+            queue_.erase(job.order.job);
             continue;
         }
+        if (job.placeable() != former)
+            queue_.put(queue_entry(job));
         if (job.order.steps.size() == 1 && smallest->required_label.empty() && !smallest->gang &&
             smallest->max_per_worker == 0)
             blocked[job.order.service] = smallest->cpu_milli;
-        ++it;
+        ++skipped;
     }
-    scheduling_ = false;
 }
 
 bool shard_owner::place(job_run& job, time_point now)
@@ -479,6 +692,12 @@
             .add("age_ms", to_ms(now - job.arrived))
             .write();
     ++metrics_.counter("chivewharf_task_starts_total");
+    const auto& step = job.order.steps[position.step];
+    queue_.work_started(
+        job.priority,
+        static_cast<double>(step.cpu_milli) *
+            to_seconds(model_.nominal(job.order.queue, milliseconds{step.estimate_ms})),
+        now);
     session.start(name, task.run, demand_of(job.order.steps[position.step]), job.order.payload,
                   task.saved, now);
 }
@@ -502,6 +721,7 @@
 {
     ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
     auto& worker = workers_.at(session.entry().id);
+    profile_.task_ended(tracked.demand.cpu_milli, now - tracked.ordered_at, now);
     const auto job_id = job_run::job_of(tracked.task);
     if (log_.should_log(job_id, now))
         log_line{"task_end"}
@@ -644,7 +864,7 @@
         return nullptr;
     auto job = std::move(found->second);
     jobs_.erase(found);
-    std::erase_if(waiting_, [&](const waiting_job& one) { return one.job == id; });
+    queue_.erase(id);
     stop_tasks(*job, now);
     return job;
 }
@@ -678,7 +898,9 @@
             .add("age_ms", to_ms(now - job->arrived))
             .add("objective_ms", to_ms(objective(*job) - job->arrived))
             .write();
-    callbacks_.result(job->requester, {id, job->order.attempt, end, retry_after_ms}, now);
+    const auto retry_after =
+        end == wire::job_end::overloaded ? retry_after_ms(*job, now) : default_retry_after_ms;
+    callbacks_.result(job->requester, {id, job->order.attempt, end, retry_after}, now);
 }
 
 void shard_owner::withdraw(const std::string& id, const std::string& requester, time_point now)
@@ -839,6 +1061,10 @@
         next_progress_check_ = now + progress_check_interval;
         check_progress(now);
     }
+    if (now >= next_waiting_check_) {
+        next_waiting_check_ = now + waiting_check_interval;
+        check_waiting(now);
+    }
     schedule(now);
 }
 
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -2,6 +2,9 @@
 
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/admission_forecast.h>
+#include <fleet/demand_profile.h>
+#include <fleet/job_queue.h>
 #include <fleet/job_run.h>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
@@ -74,7 +77,10 @@
 
     /// Accepts or refuses a job. Another attempt of a job that is already here only updates its
     /// requester, attempt and deadline.
-    void submit(wire::job_order order, const std::string& requester, time_point now);
+    /// \param remote true if the requester is a host of another failure domain: the job then waits
+    ///        with the next lower priority, so that a domain's own urgent jobs go first
+    void submit(wire::job_order order, const std::string& requester, time_point now,
+                bool remote = false);
 
     /// Stops a job whose caller has cancelled it, and reports no result.
     /// \return the host that waits for the job's result; none if the job is not known
@@ -138,14 +144,6 @@
         time_point avoid_until{};
         duration last_avoidance{};
     };
-    struct waiting_job {
-        time_point latest_start;
-        std::string job;
-        bool operator<(const waiting_job& other) const
-        {
-            return std::tie(latest_start, job) < std::tie(other.latest_start, other.job);
-        }
-    };
     using job_map = std::map<std::string, std::unique_ptr<job_run>>;
 
     /// True if tasks may be started on the worker.
@@ -172,8 +170,35 @@
     time_point objective(const job_run& job) const;
     /// Latest start at which the job is expected to meet its objective and its deadline.
     time_point latest_start(const job_run& job) const;
+    /// True if the shard's jobs have different priorities. Otherwise they wait in the order of
+    /// their latest start.
+    bool by_priority() const noexcept { return profile_.has_several_priorities(); }
     void enqueue(job_run& job);
+    queued_job queue_entry(const job_run& job) const;
+    void note_demand(const job_run& job, time_point now);
+    /// The shard as seen by a job of the priority.
+    /// \param ahead_milli demand of the waiting tasks that go before it
+    shard_load load_for(std::uint32_t priority, const resources& demand, double ahead_milli,
+                        time_point now) const;
+    /// Number of tasks with the demand that could start now.
+    std::uint64_t startable_tasks(const resources& demand) const;
+    std::uint64_t used_milli() const;
+    /// Wait after which the job cannot meet its objective any more; none if it can start in time.
+    std::optional<duration> excessive_wait(const job_run& job, time_point now) const;
+    /// True if the job may wait; otherwise it has been refused.
+    bool admit(const job_run& job, time_point now);
+    void refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
+                           time_point now);
+    /// Refuses waiting jobs that can no longer start in time.
+    void check_waiting(time_point now);
     void schedule(time_point now);
+    /// Starts waiting jobs of the priority as far as resources permit.
+    /// \param blocked by service: processor demand for which no worker was found; demands that are
+    ///        at least as large are skipped
+    /// \param reserved_share_only ends once these jobs have had their reserved share
+    void start_waiting(std::uint32_t priority, std::map<std::string, std::int64_t>& blocked,
+                       bool reserved_share_only, time_point now);
+    std::uint32_t retry_after_ms(const job_run& job, time_point now) const;
     bool place(job_run& job, time_point now);
     bool place_gang(job_run& job, std::size_t step, time_point now);
     bool place_task(job_run& job, task_position position, time_point now);
@@ -209,12 +234,14 @@
     std::map<std::string, managed_worker> workers_;
     shared_worker_list workers_in_use_ = std::make_shared<const worker_list>();
     job_map jobs_;
-    std::set<waiting_job> waiting_;
+    job_queue queue_;
+    demand_profile profile_;
     /// Tasks of ended jobs that may still be on a worker; they are not started again before their
     /// end is known.
     std::map<std::string, std::string> lingering_tasks_; ///< worker by task
     std::uint64_t token_ = 0;
     time_point next_progress_check_{};
+    time_point next_waiting_check_{};
     time_point last_tick_{};
     bool takeover_logged_ = false;
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
