Stop a task as slow only once, and a stalled one each time

What callers saw: jobs whose estimate was a seventh of their run time or less got 504 after several seconds. Ruled out: failing workers and takeovers. A run without progress is now told from a slow one; the second slow run of a task shows that the estimate is wrong, and goes on. The tests of judge_progress() fail on the former rule, which stops every slow run.

--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <cmath>
+#include <fleet/progress_check.h>
 #include <limits>
 #include <utility>
 
@@ -11,9 +12,6 @@
 namespace {
 
 constexpr duration progress_check_interval = milliseconds{50};
-/// A run counts as hanging if its projected run time is this many times the expected one.
-constexpr double hanging_factor = 3.0;
-constexpr duration hanging_slack = milliseconds{150};
 /// Consecutive failures after which a worker is avoided.
 constexpr std::uint32_t avoidance_failure_threshold = 2;
 constexpr duration initial_avoidance = seconds{2};
@@ -1001,14 +999,20 @@
             const auto position = job_run::position_of(name);
             const duration estimate =
                 milliseconds{job->second->order.steps[position.step].estimate_ms};
-            const auto expected = to_seconds(model_.nominal(job->second->order.queue, estimate));
-            const auto elapsed = to_seconds(tracked.percent_at - tracked.ordered_at);
-            const auto projected = elapsed * 100 / std::max(tracked.percent, 1);
-            if (elapsed < expected + to_seconds(hanging_slack) ||
-                projected < hanging_factor * expected + to_seconds(hanging_slack))
+            auto& task = job->second->task(position);
+            run_progress run;
+            run.expected = model_.nominal(job->second->order.queue, estimate);
+            run.elapsed = tracked.percent_at - tracked.ordered_at;
+            run.since_rise =
+                tracked.percent_at - std::max(tracked.percent_risen_at, tracked.ordered_at);
+            run.percent = tracked.percent;
+            run.stopped_as_slow = task.stopped_as_slow;
+            const auto verdict = judge_progress(run);
+            if (verdict == progress_verdict::normal)
                 continue;
+            task.stopped_as_slow = true;
             if (worker.avoid_until <= now)
-                avoid(worker, "task does not progress", now);
+                avoid(worker, "task is " + std::string{to_name(verdict)}, now);
             session.stop(std::string{name}, now);
         }
     }
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -286,6 +286,8 @@
             continue;
         }
         listed.insert(running.task);
+        if (running.percent > found->second.percent)
+            found->second.percent_risen_at = now;
         found->second.percent = running.percent;
         found->second.percent_at = now;
         if (found->second.accepted_at == time_point{})
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -29,6 +29,7 @@
     bool unanswered = false; ///< no reply: the start may have been or may still be carried out
     int percent = 0;         ///< progress that the worker reported
     time_point percent_at{}; ///< when `percent` was received
+    time_point percent_risen_at{}; ///< when a rise of `percent` was received; zero if never
 };
 
 /// Receives the events of a session. Its functions are called from within the session's own
