Choose an owner by the expected wait of the job's own priority

The router compared one backlog total of each shard and passed a refused job to up to three owners whatever they reported. It now compares the wait that owners tell for the job's priority plus the cost of distance, less what this host has sent since the report, and asks another owner after a refusal only if its report says that the job can start in time.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -16,10 +16,13 @@
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
+#include <fleet/owner_choice.h>
+#include <fleet/owner_view.h>
 #include <fleet/ports.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
+#include <fleet/sent_tasks.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
 #include <fleet/topic_follower.h>
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -7,6 +7,7 @@
 #include <fleet/shard_plan.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_session.h>
+#include <optional>
 #include <utility>
 
 namespace chivewharf::fleet {
@@ -26,8 +27,6 @@
 constexpr duration default_retry_after = milliseconds{500};
 /// Number of shards that may refuse a job before its caller is refused.
 constexpr std::size_t max_refusals = 3;
-/// Another domain is used only if its backlog is shorter than the home domain's by this much.
-constexpr duration spill_margin = milliseconds{20};
 
 /// True if the owner's complete takeover proves that no task of the former owner can still run. The
 /// new owner vouches only for the workers that it knows. A worker that only the former one used,
@@ -119,35 +118,43 @@
     job.safe_after_takeover = true;
 }
 
-const owner_view* job_router::choose_owner(const routed_job& job,
-                                           const std::vector<owner_view>& owners, time_point now)
+owner_choice job_router::choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
+                                      time_point now)
 {
-    const owner_view* best = nullptr;
-    duration best_cost{};
-    double best_free = 0;
+    const auto need = need_of(job.order);
+    const auto slack = unsent_deadline(job) - now;
+    std::vector<const owner_view*> candidates;
     for (const auto& owner : owners) {
         if (job.refused_by.contains(owner.shard) || !safe_to_send(job, owner, now))
             continue;
-        duration cost = owner.backlog;
-        if (owner.shard.domain != domain_)
-            cost += spill_margin;
-        // All hosts have the same reports. Without the random factor, they would all choose the
-        // same owner until its next report.
-        const auto weighted_free = static_cast<double>(owner.free_milli) * (0.5 + uniform(random_));
-        if (best == nullptr || cost < best_cost ||
-            (cost == best_cost && weighted_free > best_free)) {
-            best = &owner;
-            best_cost = cost;
-            best_free = weighted_free;
-        }
+        if (job.told_retry &&
+            !may_start_in_time(estimate_owner(owner, need, sent_, domain_, now), slack))
+            continue;
+        candidates.push_back(&owner);
     }
-    return best;
+    return fleet::choose_owner(candidates, need, sent_, domain_, random_, now);
+}
+
+std::string_view job_router::count_move(const routed_job& job, const owner_choice& choice)
+{
+    const bool refused_at_home =
+        std::any_of(job.refused_by.begin(), job.refused_by.end(),
+                    [&](const wire::shard& one) { return one.domain == domain_; });
+    const auto reason = to_name(refused_at_home ? move_reason::refused : choice.reason);
+    ++metrics_.counter("chivewharf_jobs_to_other_domains_total",
+                       "reason=\"" + std::string{reason} + '"');
+    return reason;
 }
 
 bool job_router::dispatch(routed_job& job, time_point now)
 {
-    const auto owners = owners_(now);
-    const auto* owner = choose_owner(job, owners, now);
+    return dispatch(job, owners_(now), now);
+}
+
+bool job_router::dispatch(routed_job& job, const std::vector<owner_view>& owners, time_point now)
+{
+    const auto choice = choose_owner(job, owners, now);
+    const auto* owner = choice.owner;
     if (owner == nullptr)
         return false;
     if (job.unsafe_owner && log_.should_log(job.order.job, now))
@@ -159,6 +166,20 @@
             .add("workers", owner->workers ? owner->workers->ids.size() : 0)
             .write();
     job.unsafe_owner.reset();
+    if (owner->shard.domain != domain_) {
+        const auto reason = count_move(job, choice);
+        if (log_.should_log(job.order.job, now))
+            log_line{"job_moved"}
+                .add("job", job.order.job)
+                .add("priority", job.order.priority)
+                .add("domain", owner->shard.domain)
+                .add("why", reason)
+                .add("wait_ms", to_ms(choice.wait))
+                .add("report_age_ms", to_ms(now - owner->reported))
+                .add("refusals", std::uint64_t{job.refused_by.size()})
+                .write();
+    }
+    sent_.add(*owner, need_of(job.order).tasks);
     send_to(job, *owner, now);
     return true;
 }
@@ -205,6 +226,8 @@
     job.state = job.unsafe_owner ? job_state::unknown : job_state::unsent;
     if (reason != wire::job_end::not_owner)
         job.refused_by.insert(job.owner.shard);
+    if (reason == wire::job_end::overloaded)
+        job.told_retry = std::min(job.told_retry.value_or(retry_after), retry_after);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(reason)} + '"');
     // After `not_owner`, the job waits for the new owner's report; `tick` then sends it again.
@@ -213,7 +236,7 @@
         job.unsafe_owner)
         return;
     finish(entry, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(reason),
-           retry_after, now);
+           job.told_retry.value_or(retry_after), now);
 }
 
 void job_router::result(const std::string& host, const wire::job_result& result, time_point now)
@@ -314,6 +337,8 @@
             .add("attempt", job.order.attempt)
             .add("owner", job.owner.host)
             .add("age_ms", to_ms(now - job.arrived))
+            .add("refusals", std::uint64_t{job.refused_by.size()})
+            .add("retry_after_ms", to_ms(retry_after))
             .write();
     for (const auto request : job.requests) {
         job_by_request_.erase(request);
@@ -381,15 +406,23 @@
 void job_router::tick(time_point now)
 {
     const deferral_scope deferral{*this, now};
+    // All waiting jobs use the same views: owners are many, and so are the jobs at a peak.
+    std::optional<std::vector<owner_view>> owners;
     std::vector<std::string> expired;
     for (auto& [id, job] : jobs_) {
         if (now >= job.deadline) {
             expired.push_back(id);
             continue;
         }
-        if (job.state == job_state::sent || dispatch(job, now))
+        if (job.state == job_state::sent)
+            continue;
+        if (!owners)
+            owners = owners_(now);
+        if (dispatch(job, *owners, now))
             continue;
-        if (!job.may_have_run && now > unsent_deadline(job))
+        // A job that was refused for lack of resources is not held: no other owner is known that
+        // could start it in time.
+        if (!job.may_have_run && (job.told_retry || now > unsent_deadline(job)))
             expired.push_back(id);
     }
     for (const auto& id : expired) {
@@ -399,8 +432,9 @@
         const auto& job = found->second;
         const bool not_run = job.state == job_state::unsent && !job.may_have_run;
         send_cancel(job, now);
+        const auto* reason = job.told_retry ? "overloaded" : "no_owner";
         finish(found, not_run ? job_answer::not_run : job_answer::lost,
-               not_run ? "no_owner" : "deadline", {}, now);
+               not_run ? reason : "deadline", job.told_retry.value_or(duration{0}), now);
     }
 }
 
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -3,8 +3,11 @@
 #include <base/rng.h>
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/owner_choice.h>
+#include <fleet/owner_view.h>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
+#include <fleet/sent_tasks.h>
 #include <fleet/types.h>
 #include <functional>
 #include <map>
@@ -12,25 +15,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 #include <wire/messages.h>
 
 namespace chivewharf::fleet {
 
-/// An owner that jobs can be sent to.
-struct owner_view {
-    wire::shard shard;
-    std::string host;
-    std::uint64_t incarnation = 0; ///< of its process
-    std::uint64_t epoch = 0;
-    bool takeover_complete = false;
-    std::uint64_t free_milli = 0;         ///< free processor time, thousandths of a core
-    duration backlog{};                   ///< estimated time in which it can run its waiting tasks
-    shared_worker_list workers;           ///< none if the owner has not told them
-    std::optional<wire::shard_room> room; ///< none if the owner has not told it
-    time_point reported{};                ///< when the owner's last report arrived
-};
-
 /// Routes the jobs of the callers that reached this host: chooses an owner for each job, sends the
 /// job again where that is safe, and answers the caller once.
 class job_router {
@@ -92,6 +82,8 @@
         time_point unsafe_until{};
         bool safe_after_takeover = false; ///< a successor's complete takeover ends the wait early
         std::set<wire::shard> refused_by; ///< shards that refused it for lack of resources
+        /// Smallest retry time that an overloaded owner told; none if none has refused the job.
+        std::optional<duration> told_retry;
         bool may_have_run = false;
     };
     using job_map = std::map<std::string, routed_job>;
@@ -106,9 +98,15 @@
     static void mark_unsafe(routed_job& job, time_point until);
     void apply_result(const std::string& host, const wire::job_result& result, time_point now);
     bool safe_to_send(const routed_job& job, const owner_view& owner, time_point now) const;
-    const owner_view* choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
-                                   time_point now);
+    owner_choice choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
+                              time_point now);
+    /// Sends the job to an owner.
+    /// \return false if no owner can be asked
     bool dispatch(routed_job& job, time_point now);
+    bool dispatch(routed_job& job, const std::vector<owner_view>& owners, time_point now);
+    /// Counts a job that is sent to another domain.
+    /// \return the name of the reason
+    std::string_view count_move(const routed_job& job, const owner_choice& choice);
     void send_to(routed_job& job, const owner_view& owner, time_point now);
     void on_refusal(job_map::iterator job, wire::job_end reason, duration retry_after,
                     time_point now);
@@ -126,6 +124,7 @@
     request_log& log_;
     owners_function owners_;
     send_function send_;
+    sent_tasks sent_;
     job_map jobs_;
     std::map<std::uint64_t, std::string> job_by_request_;
     std::vector<deferred_result> deferred_results_;
--- /dev/null
+++ b/modules/fleet/owner_choice.cpp
@@ -0,0 +1,179 @@
+#include <fleet/owner_choice.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <tuple>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+/// Another domain is used only if its backlog is shorter than the home domain's by this much. A
+/// backlog tells little about the wait of a single job, so the margin is wide.
+constexpr duration backlog_margin = milliseconds{20};
+/// Cost of sending a job to another domain if the owner tells its waits: the round trip.
+constexpr duration distance_cost = milliseconds{2};
+/// Delay that is expected if some of the job's tasks have to wait for others to end. It exceeds the
+/// cost of distance, so that the job goes to a domain in which all of its tasks can start.
+constexpr duration shortage_cost = milliseconds{5};
+/// Expected delays count as equal if they differ by at most this part of the least one: run times,
+/// from which the owners predict waits, are off by more.
+constexpr std::int64_t equal_cost_divisor = 4;
+
+/// A candidate with its estimate.
+struct rated_owner {
+    const owner_view* owner = nullptr;
+    owner_estimate estimate;
+};
+
+bool tells_room(const owner_view& owner, time_point now)
+{
+    return owner.room && now - owner.reported <= max_report_age;
+}
+
+/// Wait of the nearest told priority that is not more urgent; that of the least urgent one if all
+/// are more urgent.
+duration wait_of(const owner_view& owner, std::uint32_t priority)
+{
+    const auto& waits = owner.room->waits;
+    if (waits.empty())
+        return owner.backlog;
+    const auto found = std::find_if(waits.begin(), waits.end(), [&](const auto& one) {
+        return one.priority >= priority;
+    });
+    return milliseconds{found == waits.end() ? waits.back().wait_ms : found->wait_ms};
+}
+
+/// The choice by backlog, with a random weight so that hosts with the same reports do not all
+/// choose the same owner.
+const rated_owner* choose_by_backlog(const std::vector<rated_owner>& candidates, rng& random)
+{
+    const rated_owner* best = nullptr;
+    double best_free = 0;
+    for (const auto& one : candidates) {
+        const auto weighted_free =
+            static_cast<double>(one.owner->free_milli) * (0.5 + uniform(random));
+        if (best == nullptr || one.estimate.cost < best->estimate.cost ||
+            (one.estimate.cost == best->estimate.cost && weighted_free > best_free)) {
+            best = &one;
+            best_free = weighted_free;
+        }
+    }
+    return best;
+}
+
+/// Random number whose minimum over several owners falls on each of them with a probability in
+/// proportion to its weight.
+double random_rank(const rated_owner& one, rng& random)
+{
+    const auto weight = one.estimate.starts_now ? one.estimate.room : one.owner->free_milli;
+    return -std::log(1 - uniform(random)) / std::max(static_cast<double>(weight), 1.0);
+}
+
+/// The candidate with the least cost, or one at the same distance with about the same cost.
+const rated_owner* choose_by_wait(const std::vector<rated_owner>& candidates, rng& random)
+{
+    const auto& least = *std::min_element(candidates.begin(), candidates.end(),
+                                          [](const rated_owner& a, const rated_owner& b) {
+                                              return std::tuple{a.estimate.cost, a.owner->shard} <
+                                                     std::tuple{b.estimate.cost, b.owner->shard};
+                                          });
+    const auto limit = least.estimate.cost + least.estimate.cost / equal_cost_divisor;
+    const rated_owner* best = nullptr;
+    double best_rank = 0;
+    for (const auto& one : candidates) {
+        if (one.estimate.other_domain != least.estimate.other_domain ||
+            one.estimate.starts_now != least.estimate.starts_now || one.estimate.cost > limit)
+            continue;
+        const auto rank = random_rank(one, random);
+        if (best == nullptr || rank < best_rank) {
+            best = &one;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+move_reason reason_of(const owner_estimate& chosen, const std::optional<owner_estimate>& best_home)
+{
+    if (!chosen.other_domain)
+        return move_reason::none;
+    if (!best_home)
+        return move_reason::no_owner;
+    if (!best_home->tells_room)
+        return move_reason::backlog;
+    return best_home->wait > chosen.wait ? move_reason::wait : move_reason::room;
+}
+
+} // namespace
+
+job_need need_of(const wire::job_order& order)
+{
+    job_need need;
+    need.priority = order.priority;
+    for (const auto& step : order.steps) {
+        if (step.depends_on.empty())
+            need.tasks += step.count;
+    }
+    return need;
+}
+
+owner_estimate estimate_owner(const owner_view& owner, const job_need& job, const sent_tasks& sent,
+                              const std::string& home, time_point now)
+{
+    owner_estimate estimate;
+    estimate.other_domain = owner.shard.domain != home;
+    estimate.tells_room = tells_room(owner, now);
+    if (!estimate.tells_room) {
+        estimate.wait = owner.backlog;
+        estimate.cost = owner.backlog;
+        if (estimate.other_domain)
+            estimate.cost += backlog_margin;
+        return estimate;
+    }
+    const auto used = sent.since_report(owner);
+    const std::uint64_t told = owner.room->startable_tasks;
+    estimate.room = told > used ? told - used : 0;
+    estimate.starts_now = estimate.room >= job.tasks;
+    // The owner treats a job from another domain as one priority less urgent.
+    estimate.wait = wait_of(owner, job.priority + (estimate.other_domain ? 1 : 0));
+    estimate.cost = estimate.wait;
+    if (estimate.other_domain)
+        estimate.cost += distance_cost;
+    if (!estimate.starts_now)
+        estimate.cost += shortage_cost;
+    return estimate;
+}
+
+bool may_start_in_time(const owner_estimate& estimate, duration slack)
+{
+    if (!estimate.tells_room || estimate.starts_now)
+        return true;
+    const auto distance = estimate.other_domain ? distance_cost : duration{0};
+    return estimate.wait + distance <= slack;
+}
+
+owner_choice choose_owner(const std::vector<const owner_view*>& candidates, const job_need& job,
+                          const sent_tasks& sent, const std::string& home, rng& random,
+                          time_point now)
+{
+    std::vector<rated_owner> rated;
+    std::optional<owner_estimate> best_home;
+    for (const auto* owner : candidates) {
+        rated.push_back({owner, estimate_owner(*owner, job, sent, home, now)});
+        const auto& estimate = rated.back().estimate;
+        if (!estimate.other_domain && (!best_home || estimate.cost < best_home->cost))
+            best_home = estimate;
+    }
+    if (rated.empty())
+        return {};
+    const bool room_known = std::any_of(rated.begin(), rated.end(), [](const rated_owner& one) {
+        return one.estimate.tells_room;
+    });
+    const auto* chosen =
+        room_known ? choose_by_wait(rated, random) : choose_by_backlog(rated, random);
+    return {chosen->owner, chosen->estimate.wait, reason_of(chosen->estimate, best_home)};
+}
+
+} // namespace chivewharf::fleet
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -35,6 +35,12 @@
     queue.stretch = 1.6F;
     queue.target = milliseconds{60};
     config.queues.push_back(queue);
+    for (std::uint32_t priority = 1; priority < 3; ++priority) {
+        queue.name = "checks-" + std::to_string(priority);
+        queue.prefix = "/" + queue.name + "/";
+        queue.priority = priority;
+        config.queues.push_back(queue);
+    }
     return config;
 }
 
@@ -643,8 +649,11 @@
 }
 
 void fleet_simulation::submit(const std::string& job, const std::string& host,
-                              std::vector<wire::job_step> steps, duration time_limit)
+                              std::vector<wire::job_step> steps, duration time_limit,
+                              std::uint32_t priority)
 {
+    if (priority > 0)
+        priorities_[job] = priority;
     auto& one = jobs_[job];
     one.id = job;
     one.first = now_;
@@ -693,7 +702,11 @@
         request.steps = specifications_.at(job).first;
         const auto number = host.next_request++;
         host.callers->jobs[number] = job;
-        const auto queue = host.core->find_queue("h", "/checks/" + job, now_);
+        const auto priority = priorities_.find(job);
+        const auto path = priority == priorities_.end()
+                              ? std::string{"/checks/"}
+                              : "/checks-" + std::to_string(priority->second) + "/";
+        const auto queue = host.core->find_queue("h", path + job, now_);
         if (!queue ||
             host.core->submit(number, **queue, request, specifications_.at(job).second, now_)) {
             host.callers->jobs.erase(number);
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -53,7 +53,7 @@
 
     /// Submits a job to a host now. The caller submits it again if its answer is lost.
     void submit(const std::string& job, const std::string& host, std::vector<wire::job_step> steps,
-                duration time_limit = seconds{2});
+                duration time_limit = seconds{2}, std::uint32_t priority = 0);
     /// The caller cancels the job at a host, which may not be the one that took it.
     void cancel(const std::string& job, const std::string& host);
     void at(duration in, std::function<void()> call);
@@ -148,6 +148,7 @@
     std::map<std::string, caller_job> jobs_;
     std::map<std::string, std::pair<std::vector<wire::job_step>, duration>> specifications_;
     std::map<std::string, std::vector<std::string>> first_hosts_; ///< by job
+    std::map<std::string, std::uint32_t> priorities_;             ///< by job, if not 0
     std::set<std::pair<std::string, std::string>> cut_hosts_;
     std::set<std::string> cut_from_workers_;
     std::set<std::pair<std::string, std::string>> cut_from_domains_; ///< host and workers' domain
