--- a/modules/fleet/owner_choice.cpp
+++ b/modules/fleet/owner_choice.cpp
@@ -39,9 +39,8 @@
     const auto& waits = owner.room->waits;
     if (waits.empty())
         return owner.backlog;
-    const auto found = std::find_if(waits.begin(), waits.end(), [&](const auto& one) {
-        return one.priority >= priority;
-    });
+    const auto found = std::find_if(waits.begin(), waits.end(),
+                                    [&](const auto& one) { return one.priority >= priority; });
     return milliseconds{found == waits.end() ? waits.back().wait_ms : found->wait_ms};
 }
 
@@ -168,9 +167,8 @@
     }
     if (rated.empty())
         return {};
-    const bool room_known = std::any_of(rated.begin(), rated.end(), [](const rated_owner& one) {
-        return one.estimate.tells_room;
-    });
+    const bool room_known = std::any_of(
+        rated.begin(), rated.end(), [](const rated_owner& one) { return one.estimate.tells_room; });
     const auto* chosen =
         room_known ? choose_by_wait(rated, random) : choose_by_backlog(rated, random);
     return {chosen->owner, chosen->estimate.wait, reason_of(chosen->estimate, best_home)};
--- a/modules/fleet/owner_choice.h
+++ b/modules/fleet/owner_choice.h
@@ -27,12 +27,12 @@
 
 /// What an owner's last report lets a job expect there.
 struct owner_estimate {
-    bool tells_room = false;  ///< false: only the backlog is known
+    bool tells_room = false; ///< false: only the backlog is known
     bool other_domain = false;
-    bool starts_now = false;  ///< all tasks of the job that can start at once have room
-    duration wait{};          ///< expected wait for a job of its priority
-    duration cost{};          ///< expected delay, for the comparison with other owners
-    std::uint64_t room = 0;   ///< tasks that could start now, less those sent since the report
+    bool starts_now = false; ///< all tasks of the job that can start at once have room
+    duration wait{};         ///< expected wait for a job of its priority
+    duration cost{};         ///< expected delay, for the comparison with other owners
+    std::uint64_t room = 0;  ///< tasks that could start now, less those sent since the report
 };
 
 /// Estimates from the owner's last report and what this host has sent since.
