--- a/modules/fleet/owner_choice.cpp
+++ b/modules/fleet/owner_choice.cpp
@@ -70,14 +70,19 @@
     return -std::log(1 - uniform(random)) / std::max(static_cast<double>(weight), 1.0);
 }
 
-/// The candidate with the least cost, or one at the same distance with about the same cost.
+/// Order of the candidates: expected delay, room for all tasks, distance.
+bool is_better(const rated_owner& a, const rated_owner& b)
+{
+    const auto rank = [](const owner_estimate& one) {
+        return std::tuple{one.cost, !one.starts_now, one.other_domain};
+    };
+    return rank(a.estimate) < rank(b.estimate);
+}
+
+/// The best candidate, or one that is about as good and at the same distance.
 const rated_owner* choose_by_wait(const std::vector<rated_owner>& candidates, rng& random)
 {
-    const auto& least = *std::min_element(candidates.begin(), candidates.end(),
-                                          [](const rated_owner& a, const rated_owner& b) {
-                                              return std::tuple{a.estimate.cost, a.owner->shard} <
-                                                     std::tuple{b.estimate.cost, b.owner->shard};
-                                          });
+    const auto& least = *std::min_element(candidates.begin(), candidates.end(), is_better);
     const auto limit = least.estimate.cost + least.estimate.cost / equal_cost_divisor;
     const rated_owner* best = nullptr;
     double best_rank = 0;
