--- a/modules/fleet/tests/owner_choice_test.cpp
+++ b/modules/fleet/tests/owner_choice_test.cpp
@@ -395,8 +395,10 @@
         : how_{how}, loads_{std::move(loads)}, results_(loads_.size())
     {
         for (std::uint32_t d = 0; d < loads_.size(); ++d) {
-            for (std::uint32_t i = 0; i < shards; ++i)
-                owners_.push_back({{name(d), i, shards}, {}, {}, {}, {}});
+            for (std::uint32_t i = 0; i < shards; ++i) {
+                owners_.emplace_back();
+                owners_.back().shard = {name(d), i, shards};
+            }
             for (std::uint32_t i = 0; i < hosts; ++i)
                 hosts_.push_back({d, rng{100 * d + i}, {}});
         }
