Send jobs to another domain only if it has ample room

Cause: with the cost of the round trip alone, a hot domain filled the queues of the next one, where its urgent jobs wait as less urgent ones. Change: another domain counts as having room only for three times the job's tasks, and costs 100 ms more otherwise.

--- a/modules/fleet/owner_choice.cpp
+++ b/modules/fleet/owner_choice.cpp
@@ -14,9 +14,16 @@
 constexpr duration backlog_margin = milliseconds{20};
 /// Cost of sending a job to another domain if the owner tells its waits: the round trip.
 constexpr duration distance_cost = milliseconds{2};
-/// Delay that is expected if some of the job's tasks have to wait for others to end. It exceeds the
-/// cost of distance, so that the job goes to a domain in which all of its tasks can start.
-constexpr duration shortage_cost = milliseconds{5};
+/// Delay that is expected at home if some of the job's tasks have to wait for others to end. It
+/// exceeds the cost of distance, so that the job goes to a domain in which all of its tasks can
+/// start.
+constexpr duration home_shortage_cost = milliseconds{5};
+/// The same in another domain. That domain's own jobs arrive all the time and go first, so that a
+/// job that does not start at once waits longer than the owner could predict.
+constexpr duration remote_shortage_cost = milliseconds{100};
+/// Another domain counts as having room for a job only if it could start this many of them: other
+/// hosts choose from the same report.
+constexpr std::uint64_t remote_room_factor = 3;
 /// Expected delays count as equal if they differ by at most this part of the least one: run times,
 /// from which the owners predict waits, are off by more.
 constexpr std::int64_t equal_cost_divisor = 4;
@@ -140,13 +147,18 @@
     const std::uint64_t told = owner.room->startable_tasks;
     estimate.room = told > used ? told - used : 0;
     estimate.starts_now = estimate.room >= job.tasks;
+    if (!estimate.other_domain) {
+        estimate.wait = wait_of(owner, job.priority);
+        estimate.cost = estimate.wait;
+        if (!estimate.starts_now)
+            estimate.cost += home_shortage_cost;
+        return estimate;
+    }
     // The owner treats a job from another domain as one priority less urgent.
-    estimate.wait = wait_of(owner, job.priority + (estimate.other_domain ? 1 : 0));
-    estimate.cost = estimate.wait;
-    if (estimate.other_domain)
-        estimate.cost += distance_cost;
-    if (!estimate.starts_now)
-        estimate.cost += shortage_cost;
+    estimate.wait = wait_of(owner, job.priority + 1);
+    estimate.cost = estimate.wait + distance_cost;
+    if (estimate.room < job.tasks * remote_room_factor)
+        estimate.cost += remote_shortage_cost;
     return estimate;
 }
 
--- a/modules/fleet/owner_choice.h
+++ b/modules/fleet/owner_choice.h
@@ -65,7 +65,9 @@
 /// choice is random, in proportion to their room, so that hosts that choose from the same reports
 /// fill the owners evenly.
 ///
-/// Answers a peak in one failure domain: the job goes to a domain with room before it waits. Owners
+/// Answers a peak in one failure domain: the job goes to a domain with room before it waits. A
+/// domain without ample room gets it only if the wait at home is much longer, so that a peak does
+/// not fill the queues of the other domains. Owners
 /// without room in their reports are compared by their backlog; if no candidate tells its room, the
 /// choice is by backlog alone, as in the earlier version.
 owner_choice choose_owner(const std::vector<const owner_view*>& candidates, const job_need& job,
