--- a/modules/fleet/tests/owner_choice_test.cpp
+++ b/modules/fleet/tests/owner_choice_test.cpp
@@ -36,6 +36,7 @@
 std::vector<const owner_view*> all_of(const std::vector<owner_view>& owners)
 {
     std::vector<const owner_view*> all;
+    all.reserve(owners.size());
     for (const auto& one : owners)
         all.push_back(&one);
     return all;
@@ -424,7 +425,7 @@
                 owners_.back().shard = {name(d), i, shards};
             }
             for (std::uint32_t i = 0; i < hosts; ++i)
-                hosts_.push_back({d, rng{seed + 100 * d + i}, {}});
+                hosts_.push_back({d, rng{seed + std::uint64_t{100} * d + i}, {}});
         }
     }
 
@@ -532,7 +533,7 @@
         const auto tasks_per_ms = loads_[domain](now_ms_) * kind.share * shards * slots;
         std::poisson_distribution<int> arrivals{tasks_per_ms / kind.run_ms / kind.tasks};
         for (int i = arrivals(arrivals_); i > 0; --i) {
-            auto& host = hosts_[domain * hosts + arrivals_() % hosts];
+            auto& host = hosts_[std::size_t{domain} * hosts + arrivals_() % hosts];
             route(host, kind);
         }
     }
