--- a/modules/fleet/admission_forecast.h
+++ b/modules/fleet/admission_forecast.h
@@ -3,12 +3,11 @@
 #include <base/time.h>
 #include <cstdint>
 #include <optional>
-#include <string_view>
 
 namespace chivewharf::fleet {
 
 /// State of a shard as seen by a job of one priority. Amounts are thousandths of a core.
-struct shard_load {
+struct forecast_input {
     double usable_milli = 0; ///< free resources into which tasks of the job's demand fit
     double used_milli = 0;   ///< resources that tasks occupy
     double ahead_milli = 0;  ///< demand of the waiting tasks that go first
@@ -18,10 +17,10 @@
     std::optional<duration> mean_run_time;
 };
 
-/// Predicts the time until the last of a job's tasks starts. By Little's law, tasks release
-/// resources at the rate of the used resources over the mean time for which they are occupied. What
-/// more urgent work takes of that is not available, up to the share that is reserved for less
-/// urgent work.
+/// Predicts the time until the last of a job's tasks starts. The free resources
+/// are filled first. From then on, by Little's law, tasks release resources at the rate of the
+/// occupied resources over the mean time for which they are occupied. What more urgent work takes
+/// of that is not available, except for the share that is reserved for less urgent work.
 ///
 /// Answers a burst: a job that cannot start in time is refused at once and does not wait until it
 /// is late, and the forecast follows the resources in use, which fill up at the start of a burst
@@ -29,14 +28,7 @@
 /// \param demand_milli of the job's waiting tasks
 /// \param reserved_share part of the released resources that more urgent work never takes
 /// \return none if too little is known for a forecast
-std::optional<duration> forecast_wait(const shard_load& load, double demand_milli,
+std::optional<duration> forecast_wait(const forecast_input& load, double demand_milli,
                                       double reserved_share);
 
-/// Time after which the caller of a refused job may send it again: when jobs of its priority are
-/// expected to find resources, plus a part of an interval that is chosen by the job's id, so that
-/// callers which were refused together do not return together. The interval grows with the priority
-/// number, so that more urgent jobs return first.
-/// \param wait forecast of the wait that the job was refused for
-duration retry_delay(duration wait, std::uint32_t priority, std::string_view job);
-
 } // namespace chivewharf::fleet
--- a/modules/fleet/demand_profile.cpp
+++ b/modules/fleet/demand_profile.cpp
@@ -14,11 +14,15 @@
 void demand_profile::task_demand(std::uint32_t priority, std::int64_t cpu_milli, std::size_t tasks,
                                  time_point now)
 {
+    if (tasks == 0)
+        return;
     const auto key = std::min(priority, max_priorities - 1);
     const auto demand = static_cast<double>(cpu_milli) * static_cast<double>(tasks);
     arrived_.try_emplace(key, time_constant).first->second.add(demand, now);
     task_count_.add(static_cast<double>(tasks), now);
     task_demand_.add(demand, now);
+    // Derived here, because both sums vanish in a long time without arrivals.
+    typical_demand_ = static_cast<std::int64_t>(task_demand_.value(now) / task_count_.value(now));
 }
 
 void demand_profile::task_ended(std::int64_t cpu_milli, duration elapsed, time_point now)
@@ -28,12 +32,6 @@
     released_work_.add(demand * to_seconds(elapsed) * 1000, now);
 }
 
-std::int64_t demand_profile::typical_demand(time_point now) const
-{
-    const auto tasks = task_count_.value(now);
-    return tasks > 0 ? static_cast<std::int64_t>(task_demand_.value(now) / tasks) : 0;
-}
-
 std::optional<duration> demand_profile::mean_run_time(time_point now) const
 {
     const auto released = released_.value(now);
--- a/modules/fleet/demand_profile.h
+++ b/modules/fleet/demand_profile.h
@@ -28,7 +28,7 @@
     void task_ended(std::int64_t cpu_milli, duration elapsed, time_point now);
 
     /// Mean demand of a task; 0 if no task has arrived yet.
-    std::int64_t typical_demand(time_point now) const;
+    std::int64_t typical_demand() const noexcept { return typical_demand_; }
 
     /// Mean time for which a unit of processor time is occupied; none while too little was
     /// observed.
@@ -40,13 +40,11 @@
     /// The priorities that have been seen, the most urgent first.
     std::vector<std::uint32_t> priorities() const;
 
-    /// True if jobs of different priorities have been seen.
-    bool has_several_priorities() const noexcept { return arrived_.size() > 1; }
-
 private:
     std::map<std::uint32_t, decaying_sum> arrived_; ///< demand by priority
     decaying_sum task_count_{time_constant};
     decaying_sum task_demand_{time_constant};
+    std::int64_t typical_demand_ = 0;
     decaying_sum released_{time_constant};
     decaying_sum released_work_{time_constant}; ///< released demand times its run time in ms
 };
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -7,18 +7,23 @@
 /// the messages between hosts). Performs no I/O except log lines and reads no clock; all output
 /// goes through the interfaces in `ports.h`.
 
+#include <fleet/admission_forecast.h>
 #include <fleet/adoption_probe.h>
 #include <fleet/cancelled_jobs.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
+#include <fleet/decaying_sum.h>
+#include <fleet/demand_profile.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
+#include <fleet/job_queue.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
 #include <fleet/ports.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
+#include <fleet/retry_schedule.h>
 #include <fleet/run_time_model.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <cmath>
+#include <fleet/retry_schedule.h>
 #include <limits>
 #include <utility>
 
@@ -240,10 +241,10 @@
     return used;
 }
 
-shard_load shard_owner::load_for(std::uint32_t priority, const resources& demand,
-                                 double ahead_milli, time_point now) const
+forecast_input shard_owner::load_for(std::uint32_t priority, const resources& demand,
+                                     double ahead_milli, time_point now) const
 {
-    shard_load load;
+    forecast_input load;
     load.usable_milli =
         static_cast<double>(startable_tasks(demand)) * static_cast<double>(demand.cpu_milli);
     load.used_milli = static_cast<double>(used_milli());
@@ -258,7 +259,7 @@
     if (!by_priority())
         return std::nullopt;
     wire::shard_room room;
-    const resources typical{profile_.typical_demand(now), 0, 0};
+    const resources typical{profile_.typical_demand(), 0, 0};
     room.startable_tasks = static_cast<std::uint32_t>(startable_tasks(typical));
     for (const auto priority : profile_.priorities()) {
         const auto ahead = static_cast<double>(queue_.demand_milli(priority));
@@ -327,6 +328,10 @@
 void shard_owner::note_demand(const job_run& job, time_point now)
 {
     const bool former_order = !by_priority();
+    // The priority that the sender gave counts: a remote job of the only priority is not of
+    // another.
+    several_priorities_ |= last_priority_.value_or(job.order.priority) != job.order.priority;
+    last_priority_ = job.order.priority;
     for (const auto& step : job.order.steps)
         profile_.task_demand(job.priority, step.cpu_milli, step.count, now);
     if (!former_order || !by_priority())
@@ -337,14 +342,23 @@
     }
 }
 
-std::optional<duration> shard_owner::excessive_wait(const job_run& job, time_point now) const
+std::optional<duration> shard_owner::expected_wait(const job_run& job, time_point now) const
 {
     const auto ahead = static_cast<double>(queue_.demand_milli(job.priority));
-    const auto load = load_for(job.priority, largest_demand(job.order), ahead, now);
-    const auto wait =
-        forecast_wait(load, static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
-    // A job with nothing ahead of it starts as soon as possible, however many tasks it has.
-    if (!wait || ahead == 0 || now + *wait <= latest_start(job))
+    return forecast_wait(load_for(job.priority, largest_demand(job.order), ahead, now),
+                         static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
+}
+
+bool shard_owner::startable(const job_run& job) const
+{
+    const auto needed = queue_.demand_milli(job.priority) == 0 ? 1 : job.placeable();
+    return startable_tasks(largest_demand(job.order)) >= needed;
+}
+
+std::optional<duration> shard_owner::excessive_wait(const job_run& job, time_point now) const
+{
+    const auto wait = expected_wait(job, now);
+    if (!wait || startable(job) || now + *wait <= latest_start(job))
         return std::nullopt;
     return wait;
 }
@@ -353,12 +367,8 @@
 {
     if (!by_priority())
         return default_retry_after_ms;
-    const auto ahead = static_cast<double>(queue_.demand_milli(job.priority));
-    const auto load = load_for(job.priority, largest_demand(job.order), ahead, now);
-    const auto wait =
-        forecast_wait(load, static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
-    return static_cast<std::uint32_t>(
-        to_ms(retry_delay(wait.value_or(duration{0}), job.priority, job.order.job)));
+    const auto wait = expected_wait(job, now).value_or(duration{0});
+    return static_cast<std::uint32_t>(to_ms(retry_delay(wait, job.priority, job.order.job)));
 }
 
 void shard_owner::submit(wire::job_order order, const std::string& requester, time_point now,
@@ -453,12 +463,20 @@
                       now);
 }
 
+void shard_owner::refuse_waiting(const std::string& id, std::string_view reason, duration wait,
+                                 time_point now)
+{
+    const auto job = remove_job(id, now);
+    if (job)
+        refuse_overloaded(*job, reason, wait, now);
+}
+
 void shard_owner::check_waiting(time_point now)
 {
     if (!by_priority() || leaving_ || suspended_)
         return;
     std::vector<std::pair<std::string, duration>> hopeless;
-    const resources typical{profile_.typical_demand(now), 0, 0};
+    const resources typical{profile_.typical_demand(), 0, 0};
     double ahead = 0;
     for (const auto priority : queue_.priorities()) {
         auto load = load_for(priority, typical, ahead, now);
@@ -473,10 +491,8 @@
                 ahead += static_cast<double>(waiting.demand_milli);
         }
     }
-    for (const auto& [id, wait] : hopeless) {
-        const auto job = remove_job(id, now);
-        refuse_overloaded(*job, "hopeless", wait, now);
-    }
+    for (const auto& [id, wait] : hopeless)
+        refuse_waiting(id, "recheck", wait, now);
 }
 
 void shard_owner::availability_changed(time_point now)
@@ -515,8 +531,10 @@
         auto& job = *jobs_.at(it->job);
         // The job's place changes when some of its tasks have been started.
         ++it;
-        if (job.orphaned_since)
+        if (job.orphaned_since) {
+            ++skipped;
             continue;
+        }
         const auto smallest = std::min_element(
             job.order.steps.begin(), job.order.steps.end(),
             [](const auto& a, const auto& b) { return a.cpu_milli < b.cpu_milli; });
@@ -898,9 +916,7 @@
             .add("age_ms", to_ms(now - job->arrived))
             .add("objective_ms", to_ms(objective(*job) - job->arrived))
             .write();
-    const auto retry_after =
-        end == wire::job_end::overloaded ? retry_after_ms(*job, now) : default_retry_after_ms;
-    callbacks_.result(job->requester, {id, job->order.attempt, end, retry_after}, now);
+    callbacks_.result(job->requester, {id, job->order.attempt, end, default_retry_after_ms}, now);
 }
 
 void shard_owner::withdraw(const std::string& id, const std::string& requester, time_point now)
@@ -1016,21 +1032,23 @@
 
 void shard_owner::check_deadlines(time_point now)
 {
-    std::vector<std::pair<std::string, wire::job_end>> expired;
+    std::vector<std::string> expired;
+    std::vector<std::string> too_late;
     std::vector<std::string> orphans;
     for (const auto& [id, job] : jobs_) {
         if (job->orphaned_since && now - *job->orphaned_since > orphan_grace)
             orphans.push_back(id);
-        else if (now >= job->deadline)
-            expired.emplace_back(id,
-                                 job->started ? wire::job_end::expired : wire::job_end::overloaded);
-        else if (!job->started && now > latest_start(*job))
-            expired.emplace_back(id, wire::job_end::overloaded);
+        else if (job->started && now >= job->deadline)
+            expired.push_back(id);
+        else if (!job->started && (now >= job->deadline || now > latest_start(*job)))
+            too_late.push_back(id);
     }
     for (const auto& id : orphans)
         cancel(id, now);
-    for (const auto& [id, end] : expired)
-        finish(id, end, now);
+    for (const auto& id : expired)
+        finish(id, wire::job_end::expired, now);
+    for (const auto& id : too_late)
+        refuse_waiting(id, "latest_start", duration{0}, now);
 }
 
 void shard_owner::log_takeover()
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -172,14 +172,20 @@
     time_point latest_start(const job_run& job) const;
     /// True if the shard's jobs have different priorities. Otherwise they wait in the order of
     /// their latest start.
-    bool by_priority() const noexcept { return profile_.has_several_priorities(); }
+    bool by_priority() const noexcept { return several_priorities_; }
     void enqueue(job_run& job);
     queued_job queue_entry(const job_run& job) const;
     void note_demand(const job_run& job, time_point now);
     /// The shard as seen by a job of the priority.
     /// \param ahead_milli demand of the waiting tasks that go before it
-    shard_load load_for(std::uint32_t priority, const resources& demand, double ahead_milli,
-                        time_point now) const;
+    forecast_input load_for(std::uint32_t priority, const resources& demand, double ahead_milli,
+                            time_point now) const;
+    /// Time until the last task of a job that is not in the queue would start; none if too little
+    /// is known.
+    std::optional<duration> expected_wait(const job_run& job, time_point now) const;
+    /// True if workers have room for the job now: for all of its tasks, or for one of them if no
+    /// job goes first.
+    bool startable(const job_run& job) const;
     /// Number of tasks with the demand that could start now.
     std::uint64_t startable_tasks(const resources& demand) const;
     std::uint64_t used_milli() const;
@@ -189,6 +195,9 @@
     bool admit(const job_run& job, time_point now);
     void refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
                            time_point now);
+    /// Ends a job that has not started.
+    void refuse_waiting(const std::string& job, std::string_view reason, duration wait,
+                        time_point now);
     /// Refuses waiting jobs that can no longer start in time.
     void check_waiting(time_point now);
     void schedule(time_point now);
@@ -236,6 +245,8 @@
     job_map jobs_;
     job_queue queue_;
     demand_profile profile_;
+    std::optional<std::uint32_t> last_priority_; ///< of the last job, as sent
+    bool several_priorities_ = false;            ///< jobs were sent with different ones
     /// Tasks of ended jobs that may still be on a worker; they are not started again before their
     /// end is known.
     std::map<std::string, std::string> lingering_tasks_; ///< worker by task
