Long tasks are not stopped as hanging, and one slow task does not close a worker

A task whose projected run time was 3 times the expected one was stopped and its worker avoided for 2 s. The projection now has to reach 20 times, and a worker is avoided after two such tasks in a row.

--- a/modules/fleet/retry_schedule.cpp
+++ b/modules/fleet/retry_schedule.cpp
@@ -25,11 +25,11 @@
 duration retry_delay(duration wait, std::uint32_t priority, std::string_view job)
 {
     const auto interval = std::min(priority, last_interval);
-    // The whole interval lies below the maximum. A clamped result would bring the callers with the
+    const auto first = std::clamp(wait, min_retry_delay, max_retry_delay / 2);
+    // All intervals end below the maximum. Clamping the result would bring the callers with the
     // longest waits back at the same moment.
-    const auto longest = max_retry_delay / (interval + 2);
-    const auto length = std::clamp(wait, min_retry_delay, longest);
-    return length * (interval + 1) + from_seconds(to_seconds(length) * position_of(job));
+    const auto length = std::min(first, (max_retry_delay - first) / (last_interval + 1));
+    return first + length * interval + from_seconds(to_seconds(length) * position_of(job));
 }
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 constexpr duration progress_check_interval = milliseconds{50};
-/// A run counts as hanging if its projected run time is this many times the expected one.
-constexpr double hanging_factor = 3.0;
+/// A run counts as hanging if its projected run time is this many times the expected one. Tasks
+/// that run 7 times as long, with a spread and estimates that are off by 40%, are not hanging:
+/// stopping them loses their work, and another run takes as long.
+constexpr double hanging_factor = 20.0;
 constexpr duration hanging_slack = milliseconds{150};
 /// Consecutive failures after which a worker is avoided.
 constexpr std::uint32_t avoidance_failure_threshold = 2;
@@ -1023,8 +1025,9 @@
             if (elapsed < expected + to_seconds(hanging_slack) ||
                 projected < hanging_factor * expected + to_seconds(hanging_slack))
                 continue;
-            if (worker.avoid_until <= now)
-                avoid(worker, "task does not progress", now);
+            if (worker.avoid_until <= now &&
+                ++worker.consecutive_failures >= avoidance_failure_threshold)
+                avoid(worker, "tasks do not progress", now);
             session.stop(std::string{name}, now);
         }
     }
