Latest starts allow for the longest task of a job

The objective is set by a job's longest task, which runs longer than the mean; its ratio is learned by queue.

--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -80,6 +80,7 @@
     std::uint32_t priority = 0;               ///< with which it waits
     bool waits = false;                       ///< it is in the owner's queue
     bool started = false;                     ///< the start of a task was ordered
+    duration longest_run{};                   ///< of its completed tasks
     std::optional<time_point> orphaned_since; ///< when the link to the requester was lost
 };
 
--- a/modules/fleet/run_time_model.h
+++ b/modules/fleet/run_time_model.h
@@ -17,6 +17,13 @@
     /// Expected run time on a worker of speed 1.
     duration nominal(const std::string& queue, duration estimate) const;
 
+    /// Expected run time of a job's longest task, on a worker of speed 1. Run times vary, so that
+    /// the longest of several tasks runs longer than their mean.
+    duration longest(const std::string& queue, duration estimate) const;
+
+    /// Records the run time of the longest task of a completed job.
+    void observe_longest(const std::string& queue, duration estimate, duration elapsed);
+
     /// Records the run time of a completed task.
     void observe(const std::string& queue, duration estimate, const std::string& worker,
                  duration elapsed);
@@ -30,8 +37,9 @@
 private:
     double queue_ratio(const std::string& queue) const;
 
-    std::map<std::string, double> log_speed_; ///< by worker
-    std::map<std::string, double> log_ratio_; ///< actual over estimated run time, by queue
+    std::map<std::string, double> log_speed_;   ///< by worker
+    std::map<std::string, double> log_ratio_;   ///< actual over estimated run time, by queue
+    std::map<std::string, double> log_longest_; ///< longest over mean run time, by queue
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -308,6 +308,12 @@
 
 time_point shard_owner::latest_start(const job_run& job) const
 {
+    if (by_priority()) {
+        const auto longest = model_.longest(job.order.queue, job.critical_path_estimate());
+        const auto allowed = from_seconds(to_seconds(longest) * double{job.order.stretch}) +
+                             milliseconds{job.order.target_ms};
+        return std::min(job.arrived + allowed, job.deadline) - longest;
+    }
     return std::min(objective(job), job.deadline) -
            model_.nominal(job.order.queue, job.critical_path_estimate());
 }
@@ -775,6 +781,7 @@
         ++step.done;
         model_.observe(job.order.queue, milliseconds{job.order.steps[position.step].estimate_ms},
                        task.worker, now - tracked.ordered_at);
+        job.longest_run = std::max(job.longest_run, now - tracked.ordered_at);
         if (job.order.steps[position.step].gang) {
             // The success of one gang member counts for all of them.
             for (auto& member : step.tasks)
@@ -782,6 +789,8 @@
             step.done = static_cast<std::uint32_t>(step.tasks.size());
             step.active = 0;
         }
+        if (job.completed() && job.steps.size() == 1)
+            model_.observe_longest(job.order.queue, job.critical_path_estimate(), job.longest_run);
         if (job.completed())
             finish(job_id, wire::job_end::completed, now);
         else
