Reserve a tenth for less urgent work, and forecast with what was admitted

Refused work does not come before a waiting job, so only admitted work counts as more urgent demand.

--- a/modules/fleet/admission_forecast.h
+++ b/modules/fleet/admission_forecast.h
@@ -22,7 +22,7 @@
 /// occupied resources over the mean time for which they are occupied. What more urgent work takes
 /// of that is not available, except for the share that is reserved for less urgent work.
 ///
-/// Answers a burst: a job that cannot start in time is refused at once and does not wait until it
+/// Addresses bursts: a job that cannot start in time is refused at once and does not wait until it
 /// is late, and the forecast follows the resources in use, which fill up at the start of a burst
 /// before a rate of completed tasks rises.
 /// \param demand_milli of the job's waiting tasks
--- a/modules/fleet/demand_profile.cpp
+++ b/modules/fleet/demand_profile.cpp
@@ -18,13 +18,20 @@
         return;
     const auto key = std::min(priority, max_priorities - 1);
     const auto demand = static_cast<double>(cpu_milli) * static_cast<double>(tasks);
-    arrived_.try_emplace(key, time_constant).first->second.add(demand, now);
+    admitted_.try_emplace(key, time_constant);
     task_count_.add(static_cast<double>(tasks), now);
     task_demand_.add(demand, now);
     // Derived here, because both sums vanish in a long time without arrivals.
     typical_demand_ = static_cast<std::int64_t>(task_demand_.value(now) / task_count_.value(now));
 }
 
+void demand_profile::job_admitted(std::uint32_t priority, std::int64_t cpu_milli, time_point now)
+{
+    const auto key = std::min(priority, max_priorities - 1);
+    admitted_.try_emplace(key, time_constant)
+        .first->second.add(static_cast<double>(cpu_milli), now);
+}
+
 void demand_profile::task_ended(std::int64_t cpu_milli, duration elapsed, time_point now)
 {
     const auto demand = static_cast<double>(cpu_milli);
@@ -43,7 +50,7 @@
 double demand_profile::more_urgent_rate(std::uint32_t priority, time_point now) const
 {
     double rate = 0;
-    for (const auto& [key, demand] : arrived_) {
+    for (const auto& [key, demand] : admitted_) {
         if (key < priority)
             rate += demand.rate_per_ms(now);
     }
@@ -53,7 +60,7 @@
 std::vector<std::uint32_t> demand_profile::priorities() const
 {
     std::vector<std::uint32_t> all;
-    for (const auto& [key, demand] : arrived_)
+    for (const auto& [key, demand] : admitted_)
         all.push_back(key);
     return all;
 }
--- a/modules/fleet/demand_profile.h
+++ b/modules/fleet/demand_profile.h
@@ -24,6 +24,10 @@
     void task_demand(std::uint32_t priority, std::int64_t cpu_milli, std::size_t tasks,
                      time_point now);
 
+    /// A job was admitted.
+    /// \param cpu_milli demand of all its tasks
+    void job_admitted(std::uint32_t priority, std::int64_t cpu_milli, time_point now);
+
     /// A task has ended and has released its resources.
     void task_ended(std::int64_t cpu_milli, duration elapsed, time_point now);
 
@@ -34,14 +38,14 @@
     /// observed.
     std::optional<duration> mean_run_time(time_point now) const;
 
-    /// Demand that arrives for each millisecond with a priority that is more urgent.
+    /// Demand that is admitted for each millisecond with a priority that is more urgent.
     double more_urgent_rate(std::uint32_t priority, time_point now) const;
 
     /// The priorities that have been seen, the most urgent first.
     std::vector<std::uint32_t> priorities() const;
 
 private:
-    std::map<std::uint32_t, decaying_sum> arrived_; ///< demand by priority
+    std::map<std::uint32_t, decaying_sum> admitted_; ///< demand by priority; 0 if all was refused
     decaying_sum task_count_{time_constant};
     decaying_sum task_demand_{time_constant};
     std::int64_t typical_demand_ = 0;
--- a/modules/fleet/job_queue.h
+++ b/modules/fleet/job_queue.h
@@ -39,8 +39,10 @@
 /// that is started.
 class job_queue {
 public:
-    /// Part of the started work that goes to jobs below a priority while such jobs wait.
-    static constexpr double reserved_share = 0.25;
+    /// Part of the started work that goes to jobs below a priority while such jobs wait. In the
+    /// replay of the design load at twice the capacity, 0.25 gave 96 jobs in time fewer of 1,863:
+    /// the least urgent ones need nine times the processor time of others.
+    static constexpr double reserved_share = 0.1;
     /// Age at which started work counts for little in the shares.
     static constexpr duration share_window = seconds{2};
 
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -420,6 +420,7 @@
     note_demand(*job, now);
     if (!admit(*job, now))
         return;
+    profile_.job_admitted(job->priority, job->waiting_demand(), now);
     auto& added = *jobs_.emplace(job->order.job, std::move(job)).first->second;
     enqueue(added);
     schedule(now);
