--- a/modules/fleet/tests/overload_test.cpp
+++ b/modules/fleet/tests/overload_test.cpp
@@ -2,6 +2,7 @@
 #include "owner_fixture.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -90,7 +91,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(loads, overload, testing::ValuesIn(overloads), [](const auto& one) {
-    return std::to_string(static_cast<int>(one.param * 10 + 0.5));
+    return std::to_string(std::lround(one.param * 10));
 });
 
 // Guards against a collapse: work that is started and ends too late wastes the resources.
