Retry test counts callers that return at the same moment

It kept the moments in a set, so that equal ones counted once, and passed with two moments for all. Seen failing with that now.

--- a/modules/fleet/tests/overload_test.cpp
+++ b/modules/fleet/tests/overload_test.cpp
@@ -224,12 +224,13 @@
     RC_ASSERT(urgent <= less_urgent);
 }
 
+// Guards against refused callers that come back together: equal moments count each.
 TEST(retry_schedule, refused_callers_are_spread_evenly_also_at_the_longest_wait)
 {
     constexpr int callers = 1000;
     constexpr int parts = 10;
     for (const duration wait : {duration{milliseconds{200}}, duration{seconds{10}}}) {
-        std::set<duration> moments;
+        std::multiset<duration> moments;
         for (int i = 0; i < callers; ++i)
             moments.insert(retry_delay(wait, 1, "job-" + std::to_string(i)));
         const auto length = (*moments.rbegin() - *moments.begin()) / parts + duration{1};
