--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -26,6 +26,7 @@
 #include <fleet/progress_check.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
+#include <fleet/retry_schedule.h>
 #include <fleet/run_time_model.h>
 #include <fleet/sent_tasks.h>
 #include <fleet/shard_owner.h>
--- a/modules/fleet/job_queue.h
+++ b/modules/fleet/job_queue.h
@@ -39,7 +39,9 @@
 /// that is started.
 class job_queue {
 public:
-    /// Part of the started work that goes to jobs below a priority while such jobs wait.
+    /// Part of the started work that goes to jobs below a priority while such jobs wait. Less urgent
+    /// jobs may need several times the processor time of urgent ones; with a small share, a short
+    /// peak turns most of them away.
     static constexpr double reserved_share = 0.25;
     /// Age at which started work counts for little in the shares.
     static constexpr duration share_window = seconds{2};
