--- a/modules/fleet/tests/owner_choice_test.cpp
+++ b/modules/fleet/tests/owner_choice_test.cpp
@@ -466,9 +466,9 @@
     static std::string name(std::uint32_t domain) { return std::to_string(domain); }
     time_point now() const { return start + milliseconds{now_ms_}; }
 
-    static shard_load load_of(const owner_state& owner, std::uint32_t priority, time_point now)
+    static forecast_input load_of(const owner_state& owner, std::uint32_t priority, time_point now)
     {
-        shard_load load;
+        forecast_input load;
         load.used_milli = task_milli * static_cast<double>(owner.ends.size());
         load.usable_milli = task_milli * static_cast<double>(slots) - load.used_milli;
         for (const auto& [key, jobs] : owner.queues) {
