Idle workers confirm their incarnation before a start; two waits and a release are mended

No poll is in flight to an idle worker, so its restart as a smaller kind went unnoticed for up to 5 s and starts used the former capacity. mark_unsafe() let a takeover end the wait for an owner that had abandoned the job before. A leaving owner removed an idle worker without an entry before its release, and the successor waited for it.

Change: worker_session polls an idle worker that has not answered for 100 ms before the first start, and holds the starts until the reply; a held order expires as if it had been sent at once. A lost link keeps the condition of a wait that still lasts. update_workers() of a leaving owner releases idle workers first.

Two tests on starts after a pause now also answer the confirmation poll, so that a wrong start is still seen.

--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -108,15 +108,16 @@
            (job.safe_after_takeover && proves_takeover(owner, *job.unsafe_owner));
 }
 
-void job_router::mark_unsafe(routed_job& job, time_point until)
+void job_router::mark_unsafe(routed_job& job, duration limit, time_point now)
 {
     job.may_have_run = true;
     job.state = job_state::unknown;
-    // If the job was unsafe before, tasks of both owners may run, and the later of the two times
-    // applies.
-    job.unsafe_until = job.unsafe_owner ? std::max(job.unsafe_until, until) : until;
+    // If the job is unsafe already, tasks of both sends may run: the later of the two times
+    // applies, and a takeover ends the wait only if it proves the end of both.
+    const bool unsafe_before = job.unsafe_owner && now <= job.unsafe_until;
+    job.unsafe_until = unsafe_before ? std::max(job.unsafe_until, now + limit) : now + limit;
+    job.safe_after_takeover = !unsafe_before || job.safe_after_takeover;
     job.unsafe_owner = job.owner;
-    job.safe_after_takeover = true;
 }
 
 const owner_view* job_router::choose_owner(const routed_job& job,
@@ -255,7 +256,7 @@
         dispatch(job, now);
         return;
     case wire::job_end::abandoned:
-        mark_unsafe(job, now + abandoned_task_time_limit);
+        mark_unsafe(job, abandoned_task_time_limit, now);
         // The owner is alive and may have held a later claim than the last reported one, so that a
         // higher epoch does not prove a takeover from it.
         job.safe_after_takeover = false;
@@ -274,7 +275,7 @@
     for (auto& [id, job] : jobs_) {
         if (job.state != job_state::sent || job.owner.host != host)
             continue;
-        mark_unsafe(job, now + lost_owner_time_limit);
+        mark_unsafe(job, lost_owner_time_limit, now);
         if (log_.should_log(id, now))
             log_line{"job_owner_lost"}.add("job", id).add("owner", host).write();
     }
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -103,7 +103,7 @@
     /// ended.
     class deferral_scope;
 
-    static void mark_unsafe(routed_job& job, time_point until);
+    static void mark_unsafe(routed_job& job, duration limit, time_point now);
     void apply_result(const std::string& host, const wire::job_result& result, time_point now);
     bool safe_to_send(const routed_job& job, const owner_view& owner, time_point now) const;
     const owner_view* choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -146,6 +146,9 @@
         else if (found->second.session->entry() != entry)
             update_entry(found->second, entry, now);
     }
+    // The successor waits for the release of each worker, so a removed one must be released first.
+    if (leaving_)
+        release_idle_workers(now);
     for (auto it = workers_.begin(); it != workers_.end();) {
         // A worker with tasks is kept until they have ended or their lease has expired.
         it->second.listed = listed.contains(it->first);
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -58,7 +58,8 @@
                 {[this](const std::string&, const wire::job_result& result, time_point) {
                      results.push_back(result);
                  },
-                 [](time_point) {}, [](const std::string&) {}}}
+                 [](time_point) {},
+                 [this](const std::string& worker) { released.push_back(worker); }}}
     {
     }
 
@@ -101,6 +102,7 @@
     metrics::registry metrics;
     request_log log;
     std::vector<wire::job_result> results;
+    std::vector<std::string> released; ///< workers, in the order of their release
     std::size_t polls_answered = 0;
     std::uint64_t revision = 0; ///< of the last list of workers
     shard_owner owner;
@@ -160,6 +162,16 @@
     fixture.port.answer_poll(reply, now);
 }
 
+/// Reports to the owner that a task on the worker of the oldest poll has succeeded.
+void end_task(owner_fixture& fixture, const std::string& task, time_point now)
+{
+    status_reply reply;
+    reply.clock_ms = 1000 + to_ms(now - start);
+    reply.incarnation = 1;
+    reply.ended.push_back({1, task, 1, task_end::done, {}});
+    fixture.port.answer_poll(reply, now);
+}
+
 /// Answers the oldest poll as a worker without tasks of the given incarnation.
 void answer_poll_as(owner_fixture& fixture, std::int64_t incarnation, time_point now)
 {
@@ -212,6 +224,67 @@
     EXPECT_EQ(fixture.owner.usable_workers(), 1U);
 }
 
+// Guards against starts at a worker that has restarted as a smaller kind while it was idle: its
+// next status poll is due only after seconds.
+TEST(shard_owner, idle_worker_confirms_its_incarnation_before_a_start)
+{
+    owner_fixture fixture;
+    fixture.add_workers({listed_worker(1, 64000)});
+    const auto later = start + seconds{2};
+    fixture.owner.tick(later);
+    fixture.owner.submit(fixture.order("j", {step(3, 16000)}), "h", later);
+    EXPECT_TRUE(fixture.port.starts.empty());
+    ASSERT_EQ(fixture.port.polls.size(), 1U);
+    answer_poll_as(fixture, 2, later);
+    EXPECT_TRUE(fixture.port.starts.empty());
+    fixture.owner.update_workers({listed_worker(2, 16000)}, ++fixture.revision, later);
+    EXPECT_EQ(fixture.port.starts.size(), 1U);
+}
+
+// Guards against starts that are lost or wait for the next poll although the worker has confirmed.
+TEST(shard_owner, held_starts_are_sent_once_the_worker_has_confirmed)
+{
+    owner_fixture fixture;
+    fixture.add_workers({listed_worker(1, 64000)});
+    const auto later = start + seconds{2};
+    fixture.owner.submit(fixture.order("j", {step(3, 16000)}), "h", later);
+    fixture.owner.submit(fixture.order("k", {step(1, 16000)}), "h", later);
+    fixture.owner.cancel("k", later);
+    ASSERT_FALSE(fixture.port.polls.empty());
+    EXPECT_EQ(fixture.port.polls.front().order.wait, duration{0});
+    answer_poll_as(fixture, 1, later + milliseconds{1});
+    EXPECT_EQ(fixture.port.starts.size(), 3U) << "the cancelled job was not left out";
+    EXPECT_EQ(fixture.owner.free_milli(), 16000U);
+}
+
+// Guards against a task that counts as possibly running at a silent worker although its start was
+// never sent: it would wait for the end of a lease before it runs elsewhere.
+TEST(shard_owner, held_start_of_a_silent_worker_moves_at_once)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 16000), worker("b", 64000)});
+    const auto later = start + seconds{2};
+    fixture.owner.submit(fixture.order("j", {step(1, 16000)}), "h", later);
+    ASSERT_EQ(fixture.port.polls.size(), 1U);
+    const auto silent = fixture.port.polls.front();
+    fixture.port.polls.clear();
+    status_reply none;
+    none.received = later + milliseconds{250};
+    silent.reply(none);
+    ASSERT_EQ(fixture.port.polls.size(), 1U);
+    EXPECT_NE(fixture.port.polls[0].order.to.id, silent.order.to.id);
+    answer_poll_as(fixture, 1, none.received);
+    ASSERT_EQ(fixture.port.starts.size(), 1U);
+    EXPECT_NE(fixture.port.starts[0].order.to.id, silent.order.to.id);
+}
+
+/// Answers all polls as workers without tasks, whose leases are over. Held starts are sent.
+void answer_all_polls(owner_fixture& fixture, time_point now)
+{
+    for (auto left = fixture.port.polls.size(); left > 0; --left)
+        answer_poll_without_tasks(fixture, now);
+}
+
 /// An owner with two workers that has started a job of one task for the host "h".
 struct started_job : owner_fixture {
     started_job()
@@ -236,10 +309,12 @@
     fixture.owner.requester_lost("h", now);
     answer_poll_without_tasks(fixture, now + milliseconds{10}); // the task has ended as lapsed
     fixture.owner.tick(now + milliseconds{20});
+    answer_all_polls(fixture, now + milliseconds{20});
     EXPECT_EQ(fixture.port.starts.size(), 1U);
     // The requester still counts on this owner.
     fixture.owner.submit(fixture.order("j", {step(1, 1000)}), "h", now + milliseconds{30});
     fixture.owner.tick(now + milliseconds{40});
+    answer_all_polls(fixture, now + milliseconds{41});
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
@@ -250,6 +325,7 @@
     const auto now = start + seconds{3};
     answer_poll_without_tasks(fixture, now);
     EXPECT_EQ(fixture.metrics.counter("chivewharf_task_ends_total", "end=\"lapsed\""), 1U);
+    answer_all_polls(fixture, now);
     EXPECT_EQ(fixture.port.starts.size(), 1U);
     fixture.owner.tick(now + milliseconds{1});
     EXPECT_EQ(fixture.port.starts.size(), 1U); // the job's deadline has passed
@@ -411,16 +487,6 @@
     EXPECT_FALSE(fixture.owner.takeover_complete());
 }
 
-/// Reports to the owner that a task on the worker of the last poll has succeeded.
-void end_task(owner_fixture& fixture, const std::string& task, time_point now)
-{
-    status_reply reply;
-    reply.clock_ms = 1000 + to_ms(now - start);
-    reply.incarnation = 1;
-    reply.ended.push_back({1, task, 1, task_end::done, {}});
-    fixture.port.answer_poll(reply, now);
-}
-
 // Guards against a worker that is kept in use by its own tasks after its entry has gone: the owner
 // would go on starting tasks there, and a later owner would not know the worker.
 TEST(shard_owner, worker_without_an_entry_gets_no_new_tasks)
@@ -554,6 +620,22 @@
     EXPECT_EQ(fixture.port.stops.size(), 1U);
 }
 
+// Guards against a successor that waits for a worker until its predecessor is gone: the entry had
+// vanished, and the leaving owner removed the worker without a release.
+TEST(shard_owner, leaving_owner_releases_a_worker_before_it_removes_it)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 64000)});
+    fixture.owner.submit(fixture.order("j", {step(1, 1000)}), "h", start);
+    fixture.owner.leave(start);
+    fixture.owner.update_workers({}, ++fixture.revision, start);
+    EXPECT_TRUE(fixture.released.empty()) << "its task is still running";
+    end_task(fixture, "j.0.0.0", start + milliseconds{100});
+    fixture.owner.update_workers({}, ++fixture.revision, start + milliseconds{120});
+    EXPECT_EQ(fixture.released, std::vector<std::string>{"a"});
+    EXPECT_TRUE(fixture.owner.released());
+}
+
 claim_candidate candidate(const std::string& host, bool home, std::uint64_t base,
                           std::uint64_t epoch = 0)
 {
@@ -692,6 +774,62 @@
     void answer(std::uint64_t /*request*/, job_answer /*answer*/, duration /*after*/) override {}
 };
 
+/// A router whose owners the test chooses; records what it sends.
+struct router_fixture {
+    static owner_view view(const std::string& host, std::uint64_t epoch)
+    {
+        owner_view one;
+        one.shard = {"d", 0, 1};
+        one.host = host;
+        one.incarnation = 7;
+        one.epoch = epoch;
+        one.takeover_complete = true;
+        one.workers = std::make_shared<const worker_list>(worker_list{epoch, {"a"}});
+        return one;
+    }
+
+    no_callers callers;
+    metrics::registry metrics;
+    request_log log;
+    std::vector<owner_view> owners;
+    std::vector<std::string> orders_to; ///< host of each order that was sent
+    job_router router{"d",
+                      callers,
+                      metrics,
+                      log,
+                      [this](time_point) { return owners; },
+                      [this](const std::string& host, const wire::message& message, time_point) {
+                          if (std::holds_alternative<wire::job_order>(message))
+                              orders_to.push_back(host);
+                      },
+                      1};
+};
+
+// Guards against two runs of a task: an owner that is alive has abandoned the job, and the loss of
+// its link afterwards let a complete takeover end the wait for the tasks that it had started.
+TEST(job_router, takeover_does_not_end_the_wait_for_an_owner_that_abandoned_the_job)
+{
+    router_fixture fixture;
+    auto& router = fixture.router;
+    fixture.owners = {router_fixture::view("x", 1)};
+    wire::job_order order;
+    order.job = "j";
+    order.remaining_ms = 10000;
+    order.steps = {step(1, 1000)};
+    router.submit(1, order, start);
+    fixture.owners.clear();
+    router.result("x", {"j", order.attempt, wire::job_end::abandoned, 0}, start);
+    router.host_reconnected("x", 7, start + milliseconds{10});
+    ASSERT_EQ(fixture.orders_to, (std::vector<std::string>{"x", "x"}));
+    router.host_lost("x", start + milliseconds{20});
+    fixture.owners = {router_fixture::view("y", 2)};
+    router.tick(start + milliseconds{40});
+    EXPECT_EQ(fixture.orders_to.size(), 2U) << "tasks of the abandoned job may still run";
+    router.tick(start + seconds{4});
+    ASSERT_EQ(fixture.orders_to.size(), 3U);
+    EXPECT_EQ(fixture.orders_to.back(), "y");
+}
+
 /// The only host of its domain, without other hosts and callers.
 struct host_fixture {
     explicit host_fixture(fleet_host::config_decoder decode)
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -77,21 +77,66 @@
 void worker_session::start(const std::string& task, std::uint32_t run, const resources& demand,
                            const std::string& payload, const std::string& saved, time_point now)
 {
-    const auto expires = expiry(now);
+    const bool unconfirmed = tasks_.empty() && now - last_reply_at_ > max_unconfirmed;
+    const bool hold = unconfirmed || !held_starts_.empty();
     tracked_task tracked;
     tracked.task = task;
     tracked.run = run;
     tracked.demand = demand;
     tracked.ordered_at = now;
-    tracked.expires_at_ms = expires;
     tracked.incarnation = incarnation_;
     used_ += demand;
-    tasks_.insert_or_assign(task, std::move(tracked));
-    port_.start({address(), token_, task, run, payload, saved, expires},
-                [self = shared_from_this(), task, run](const order_reply& reply) {
-                    self->on_start_reply(task, run, reply);
-                });
-    tick(now);
+    auto& added = tasks_.insert_or_assign(task, std::move(tracked)).first->second;
+    const held_start order{task, run, payload, saved};
+    if (!hold) {
+        send_start(order, added);
+        tick(now);
+        return;
+    }
+    held_starts_.push_back(order);
+    if (!unconfirmed)
+        return;
+    if (poll_in_flight_)
+        send_poll(now, duration{0});
+    else
+        poll(now);
+}
+
+void worker_session::send_start(const held_start& start, tracked_task& tracked)
+{
+    // The wait for a confirmation does not prolong the order: after a pause of the process, its
+    // requesters may have sent the job elsewhere.
+    tracked.expires_at_ms = expiry(tracked.ordered_at);
+    port_.start({address(), token_, start.task, start.run, start.payload, start.saved,
+                 tracked.expires_at_ms},
+                [self = shared_from_this(), task = start.task, run = start.run](
+                    const order_reply& reply) { self->on_start_reply(task, run, reply); });
+}
+
+void worker_session::release_held_starts(time_point now)
+{
+    for (const auto& held : std::exchange(held_starts_, {})) {
+        const auto found = tasks_.find(held.task);
+        if (found == tasks_.end() || found->second.run != held.run)
+            continue;
+        if (found->second.stop_ordered)
+            end_task(found, task_end::stopped, {}, now);
+        else
+            send_start(held, found->second);
+    }
+}
+
+void worker_session::reject_held_starts(order_outcome reason, time_point now)
+{
+    for (const auto& held : std::exchange(held_starts_, {})) {
+        const auto found = tasks_.find(held.task);
+        if (found == tasks_.end() || found->second.run != held.run)
+            continue;
+        const auto tracked = found->second;
+        used_ -= tracked.demand;
+        tasks_.erase(found);
+        observer_.start_rejected(*this, tracked, reason, now);
+    }
 }
 
 void worker_session::on_start_reply(const std::string& task, std::uint32_t run,
@@ -200,7 +245,8 @@
 void worker_session::poll(time_point now)
 {
     poll_in_flight_ = true;
-    const bool waits = phase_ == phase::owned && misses_ == 0 && !tasks_.empty();
+    const bool waits =
+        phase_ == phase::owned && misses_ == 0 && !tasks_.empty() && held_starts_.empty();
     send_poll(now, waits ? long_poll_wait : duration{0});
 }
 
@@ -231,6 +277,7 @@
         return;
     }
     if (reply.outcome != order_outcome::accepted) {
+        reject_held_starts(order_outcome::not_sent, now);
         record_miss(now);
         next_poll_ = now + poll_retry_interval;
         tick(now);
@@ -258,6 +305,10 @@
         phase_ = phase::owned;
     process_ended(reply);
     process_running(reply, sent);
+    if (new_incarnation || !usable())
+        reject_held_starts(order_outcome::other_incarnation, now);
+    else
+        release_held_starts(now);
     observer_.availability_changed(now);
     tick(now);
 }
@@ -348,6 +399,7 @@
         return;
     phase_ = phase::fenced;
     log_line{"fenced"}.add("worker", entry_.id).add("token", token_).write();
+    reject_held_starts(order_outcome::fenced, now);
     observer_.fenced(*this, now);
 }
 
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chivewharf::fleet {
 
@@ -61,6 +62,10 @@
     /// is renewed.
     static constexpr duration lease = milliseconds{900};
 
+    /// Time after its last reply for which an idle worker counts as the same incarnation. No poll
+    /// is in flight to an idle worker, so its restart breaks no connection.
+    static constexpr duration max_unconfirmed = milliseconds{100};
+
     /// Maximum lease that any owner can have granted, by the worker's clock.
     static constexpr duration max_lease = milliseconds{1000};
 
@@ -93,7 +98,9 @@
 
     const std::map<std::string, tracked_task>& tasks() const noexcept { return tasks_; }
 
-    /// Orders a start. Call it only if the worker is `usable` and has enough free resources.
+    /// Orders a start. Call it only if the worker is `usable` and has enough free resources. If an
+    /// idle worker has not answered for `max_unconfirmed`, it is asked first whether it is still
+    /// the same incarnation, and the order is sent once it has confirmed that.
     void start(const std::string& task, std::uint32_t run, const resources& demand,
                const std::string& payload, const std::string& saved, time_point now);
 
@@ -107,6 +114,14 @@
 private:
     enum class phase : std::uint8_t { unowned, acquiring, owned, fenced };
 
+    /// A start that waits for the worker's confirmation.
+    struct held_start {
+        std::string task;
+        std::uint32_t run = 0;
+        std::string payload;
+        std::string saved;
+    };
+
     /// False if the entry belongs to another incarnation: its capacity and labels may be others.
     bool entry_is_current() const noexcept
     {
@@ -120,6 +135,9 @@
     void on_status_reply(const status_reply& reply, time_point sent);
     void process_ended(const status_reply& reply);
     void process_running(const status_reply& reply, time_point sent);
+    void send_start(const held_start& start, tracked_task& tracked);
+    void release_held_starts(time_point now);
+    void reject_held_starts(order_outcome reason, time_point now);
     void on_start_reply(const std::string& task, std::uint32_t run, const order_reply& reply);
     void on_stop_reply(const std::string& task, std::uint32_t run, const order_reply& reply);
     void send_stop(tracked_task& task, time_point now);
@@ -135,6 +153,7 @@
     session_observer& observer_;
     worker_clock clock_;
     std::map<std::string, tracked_task> tasks_;
+    std::vector<held_start> held_starts_;
     std::map<std::string, std::uint32_t> inherited_runs_; ///< runs of an earlier owner, by task
     resources used_;
     std::uint64_t token_ = 0;
