Choose workers by bands of speed and fit, and reserve one for the first job that waits

Cause: the smallest difference of the learned speeds, which is noise among equal workers, decided before fit. Smaller tasks placed past a job that found no worker could keep taking its room. A job that lacked memory, or whose sender did not know all workers, kept others waiting that fitted, because `blocked` compared processor time alone.

Change: fleet/placement chooses as a pure function of the candidates: bands of speed (ratio 1.25), then fit. fleet/backfill holds the demands that found no worker and at most one reservation for a service. fleet/usable_capacity counts tasks that fit. fleet/job_placer and fleet/managed_worker take the placement out of shard_owner.cpp, which goes from 1,074 to 878 lines.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -8,6 +8,7 @@
 /// goes through the interfaces in `ports.h`.
 
 #include <fleet/adoption_probe.h>
+#include <fleet/backfill.h>
 #include <fleet/cancelled_jobs.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
@@ -16,6 +17,7 @@
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
+#include <fleet/placement.h>
 #include <fleet/ports.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
@@ -25,6 +27,7 @@
 #include <fleet/topic_follower.h>
 #include <fleet/topic_reader.h>
 #include <fleet/types.h>
+#include <fleet/usable_capacity.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_directory.h>
 #include <fleet/worker_session.h>
--- /dev/null
+++ b/modules/fleet/job_placer.cpp
@@ -0,0 +1,224 @@
+#include <fleet/job_placer.h>
+
+#include <algorithm>
+#include <fleet/placement.h>
+#include <utility>
+
+namespace chivewharf::fleet {
+
+namespace {
+
+bool below_spread_limit(const job_run& job, task_position position, const std::string& worker)
+{
+    const auto limit = job.order.steps[position.step].max_per_worker;
+    if (limit == 0)
+        return true;
+    const auto& tasks = job.steps[position.step].tasks;
+    const auto there = std::count_if(tasks.begin(), tasks.end(), [&](const task_run& task) {
+        return task.state == task_state::active && task.worker == worker;
+    });
+    return static_cast<std::uint32_t>(there) < limit;
+}
+
+} // namespace
+
+job_placer::job_placer(context shard, start_function start)
+    : shard_{shard}, start_{std::move(start)}
+{
+}
+
+bool job_placer::place(job_run& job, const job_times& times, time_point now)
+{
+    if (!known_not_to_fit(job)) {
+        if (place_tasks(job, times.objective, now))
+            return true;
+        if (waits_for_room_only(job))
+            backfill_.found_no_worker(job.order.service, demand_of(job.order.steps.front()));
+    }
+    reserve_worker(job, times.start_by, now);
+    return false;
+}
+
+bool job_placer::place_tasks(job_run& job, time_point objective, time_point now)
+{
+    bool all = true;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        if (!job.step_ready(step))
+            continue;
+        if (job.order.steps[step].gang) {
+            all = place_gang(job, step, now) && all;
+            continue;
+        }
+        for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            if (job.steps[step].tasks[index].state != task_state::waiting)
+                continue;
+            if (!place_task(job, {step, index}, objective, now)) {
+                all = false;
+                break;
+            }
+        }
+    }
+    return all;
+}
+
+bool job_placer::lingers(const job_run& job, task_position position) const
+{
+    return shard_.lingering_tasks.contains(job.task_name(position));
+}
+
+bool job_placer::place_gang(job_run& job, std::size_t step, time_point now)
+{
+    auto& tasks = job.steps[step].tasks;
+    if (job.steps[step].done == tasks.size() || job.steps[step].active > 0)
+        return true;
+    const auto demand = demand_of(job.order.steps[step]);
+    // Gang members start only if all of them fit at the same time.
+    std::map<std::string, std::size_t> planned;
+    std::size_t found = 0;
+    for (auto& [id, worker] : shard_.workers) {
+        auto free = worker.session->free();
+        while (found < tasks.size() && free.fits(demand) &&
+               admits(worker, job, {step, found}, now) &&
+               (job.order.steps[step].max_per_worker == 0 ||
+                planned[id] < job.order.steps[step].max_per_worker)) {
+            free -= demand;
+            ++planned[id];
+            ++found;
+        }
+    }
+    if (found < tasks.size())
+        return false;
+    const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
+                         return a.run < b.run;
+                     })->run;
+    std::size_t index = 0;
+    for (const auto& [id, count] : planned) {
+        for (std::size_t i = 0; i < count; ++i, ++index) {
+            tasks[index].run = run;
+            start_(job, {step, index}, shard_.workers.at(id), now);
+        }
+    }
+    return true;
+}
+
+bool job_placer::may_run(const managed_worker& worker, const job_run& job, task_position position,
+                         time_point now) const
+{
+    return worker.accepts_tasks() && now >= worker.avoid_until &&
+           worker.known_to_requester(job.order) &&
+           worker.suits(job.order, job.order.steps[position.step]) &&
+           below_spread_limit(job, position, worker.session->entry().id);
+}
+
+bool job_placer::admits(const managed_worker& worker, const job_run& job, task_position position,
+                        time_point now) const
+{
+    const auto& session = *worker.session;
+    const auto& step = job.order.steps[position.step];
+    const auto& id = session.entry().id;
+    const auto run_time =
+        shard_.model.expected(job.order.queue, milliseconds{step.estimate_ms}, id);
+    return session.free().fits(demand_of(step)) &&
+           !backfill_.reserved_for_other(job.order.service, id, job.order.job, now + run_time) &&
+           may_run(worker, job, position, now);
+}
+
+bool job_placer::place_task(job_run& job, task_position position, time_point objective,
+                            time_point now)
+{
+    if (lingers(job, position))
+        return false;
+    auto* worker = choose_worker(job, position, objective, now);
+    if (worker == nullptr)
+        return false;
+    start_(job, position, *worker, now);
+    return true;
+}
+
+managed_worker* job_placer::choose_worker(const job_run& job, task_position position,
+                                          time_point objective, time_point now)
+{
+    const auto& step = job.order.steps[position.step];
+    const auto& last_worker = job.steps[position.step].tasks[position.index].worker;
+    std::vector<managed_worker*> workers;
+    std::vector<placement_candidate> candidates;
+    for (auto& [id, worker] : shard_.workers) {
+        if (!admits(worker, job, position, now))
+            continue;
+        const auto& session = *worker.session;
+        const bool near_data = step.data_rack.empty() || worker.has_label(step.data_rack);
+        workers.push_back(&worker);
+        candidates.push_back(
+            {session.free().cpu_milli, shard_.model.speed(id), near_data, id == last_worker});
+    }
+    placement_request request;
+    request.demand_milli = step.cpu_milli;
+    request.typical_milli = shard_.profile.typical_demand(now);
+    request.run_time = shard_.model.nominal(job.order.queue, milliseconds{step.estimate_ms});
+    request.time_left = objective - now;
+    const auto chosen = choose_placement(candidates, request);
+    return chosen ? workers[*chosen] : nullptr;
+}
+
+bool job_placer::known_not_to_fit(const job_run& job) const
+{
+    const auto& steps = job.order.steps;
+    return std::all_of(steps.begin(), steps.end(), [&](const wire::job_step& step) {
+        return backfill_.known_not_to_fit(job.order.service, demand_of(step));
+    });
+}
+
+bool job_placer::waits_for_room_only(const job_run& job) const
+{
+    const auto& step = job.order.steps.front();
+    const bool plain = job.order.steps.size() == 1 && step.required_label.empty() && !step.gang &&
+                       step.max_per_worker == 0;
+    const auto next = job.first_waiting();
+    return plain && next && !lingers(job, *next) &&
+           std::all_of(shard_.workers.begin(), shard_.workers.end(),
+                       [&](const auto& one) { return one.second.known_to_requester(job.order); });
+}
+
+void job_placer::reserve_worker(const job_run& job, time_point start_by, time_point now)
+{
+    const auto& service = job.order.service;
+    const auto position = job.first_waiting();
+    if (!position || job.order.steps[position->step].gang || lingers(job, *position) ||
+        !backfill_.begin_search(service, job.order.job, now))
+        return;
+    const auto demand = demand_of(job.order.steps[position->step]);
+    std::string best;
+    auto earliest = start_by;
+    for (const auto& [id, worker] : shard_.workers) {
+        if (!may_run(worker, job, *position, now))
+            continue;
+        const auto at =
+            room_expected_at(worker.session->free(), releases_of(worker, now), demand, now);
+        if (at && *at <= earliest) {
+            earliest = *at;
+            best = id;
+        }
+    }
+    if (!best.empty())
+        backfill_.reserve(service, {job.order.job, best, earliest});
+}
+
+std::vector<expected_release> job_placer::releases_of(const managed_worker& worker,
+                                                      time_point now) const
+{
+    std::vector<expected_release> releases;
+    for (const auto& [name, tracked] : worker.session->tasks()) {
+        duration expected{0};
+        const auto job = shard_.jobs.find(job_run::job_of(name));
+        if (job != shard_.jobs.end()) {
+            const auto& order = job->second->order;
+            const auto& step = order.steps[job_run::position_of(name).step];
+            expected = shard_.model.expected(order.queue, milliseconds{step.estimate_ms},
+                                             worker.session->entry().id);
+        }
+        releases.push_back({expected_end(tracked.ordered_at, expected, now), tracked.demand});
+    }
+    return releases;
+}
+
+} // namespace chivewharf::fleet
--- /dev/null
+++ b/modules/fleet/job_placer.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <base/time.h>
+#include <fleet/backfill.h>
+#include <fleet/demand_profile.h>
+#include <fleet/job_run.h>
+#include <fleet/managed_worker.h>
+#include <fleet/run_time_model.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivewharf::fleet {
+
+using job_map = std::map<std::string, std::unique_ptr<job_run>>; ///< by id
+
+/// Places the tasks of a shard's waiting jobs on its workers, in passes over the jobs in the order
+/// in which they get resources.
+class job_placer {
+public:
+    /// State of the shard owner that the placement depends on.
+    struct context {
+        worker_map& workers;
+        const job_map& jobs;
+        const run_time_model& model;
+        const demand_profile& profile;
+        /// Worker by task, of tasks whose earlier run may not have ended.
+        const std::map<std::string, std::string>& lingering_tasks;
+    };
+    struct job_times {
+        time_point objective{}; ///< time by which the job should complete
+        time_point start_by{};  ///< time until which a start is of use
+    };
+    /// Starts a task on a worker that has room for it.
+    using start_function = std::function<void(job_run& job, task_position position,
+                                              managed_worker& worker, time_point now)>;
+
+    job_placer(context shard, start_function start);
+
+    /// Begins a pass over the waiting jobs.
+    void begin_pass() { backfill_.begin_pass(); }
+
+    /// Starts the waiting tasks of the job as far as workers have room.
+    /// \return true if no task of a step that is ready waits any more
+    bool place(job_run& job, const job_times& times, time_point now);
+
+private:
+    /// True if tasks with the demands of all steps have found no worker in this pass.
+    bool known_not_to_fit(const job_run& job) const;
+    bool place_tasks(job_run& job, time_point objective, time_point now);
+    bool place_gang(job_run& job, std::size_t step, time_point now);
+    bool place_task(job_run& job, task_position position, time_point objective, time_point now);
+    managed_worker* choose_worker(const job_run& job, task_position position, time_point objective,
+                                  time_point now);
+    /// True if the worker may run the task once it has room.
+    bool may_run(const managed_worker& worker, const job_run& job, task_position position,
+                 time_point now) const;
+    /// True if the task may start on the worker now.
+    bool admits(const managed_worker& worker, const job_run& job, task_position position,
+                time_point now) const;
+    /// True if only room is missing for a task of the job: what it has not found, others with the
+    /// same demand don't find either.
+    bool waits_for_room_only(const job_run& job) const;
+    bool lingers(const job_run& job, task_position position) const;
+    /// Reserves the worker that is expected to have room for the job's next task first, unless the
+    /// service has a reservation or the room comes too late.
+    void reserve_worker(const job_run& job, time_point start_by, time_point now);
+    std::vector<expected_release> releases_of(const managed_worker& worker, time_point now) const;
+
+    context shard_;
+    start_function start_;
+    backfill backfill_;
+};
+
+} // namespace chivewharf::fleet
--- a/modules/fleet/job_run.cpp
+++ b/modules/fleet/job_run.cpp
@@ -92,6 +92,21 @@
     return work;
 }
 
+std::optional<task_position> job_run::first_waiting() const
+{
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        if (!step_ready(step))
+            continue;
+        const auto& tasks = steps[step].tasks;
+        const auto found = std::find_if(tasks.begin(), tasks.end(), [](const task_run& task) {
+            return task.state == task_state::waiting;
+        });
+        if (found != tasks.end())
+            return task_position{step, static_cast<std::size_t>(found - tasks.begin())};
+    }
+    return std::nullopt;
+}
+
 std::string job_run::task_name(task_position position) const
 {
     return order.job + ".0." + std::to_string(position.step) + '.' + std::to_string(position.index);
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -61,6 +61,9 @@
     /// Processor demand of the waiting tasks in steps that are ready, in thousandths of a core.
     std::int64_t waiting_demand() const;
 
+    /// The first waiting task of a step that is ready; none if there is none.
+    std::optional<task_position> first_waiting() const;
+
     /// `JOB.0.STEP.INDEX`
     std::string task_name(task_position position) const;
 
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <base/log_line.h>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 namespace chivewharf::fleet {
@@ -18,8 +16,6 @@
 constexpr std::uint32_t avoidance_failure_threshold = 2;
 constexpr duration initial_avoidance = seconds{2};
 constexpr duration max_avoidance = seconds{8};
-/// Safety factor on the expected run time in the check whether a placement meets the objective.
-constexpr double run_time_margin = 1.3;
 /// Sent with refusals for which no forecast is made.
 constexpr std::uint32_t default_retry_after_ms = 500;
 /// Interval at which waiting jobs are checked against the forecast.
@@ -30,20 +26,6 @@
 /// Added to the run number of a task after a worker has rejected it as stale.
 constexpr std::uint32_t stale_run_step = 8;
 
-/// Number of tasks with the demand that fit into the free resources.
-std::uint64_t fitting_tasks(const resources& free, const resources& demand)
-{
-    auto tasks = std::numeric_limits<std::int64_t>::max();
-    if (demand.cpu_milli > 0)
-        tasks = std::min(tasks, free.cpu_milli / demand.cpu_milli);
-    if (demand.memory_mb > 0)
-        tasks = std::min(tasks, free.memory_mb / demand.memory_mb);
-    if (demand.accelerators > 0)
-        tasks = std::min(tasks, free.accelerators / demand.accelerators);
-    const bool bounded = tasks != std::numeric_limits<std::int64_t>::max();
-    return bounded ? static_cast<std::uint64_t>(std::max<std::int64_t>(tasks, 0)) : 0;
-}
-
 /// The largest demand of a task of the job, in each kind of resource.
 resources largest_demand(const wire::job_order& order)
 {
@@ -57,16 +39,16 @@
     return largest;
 }
 
-bool has_label(const worker_entry& worker, const std::string& label)
-{
-    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
-}
-
 } // namespace
 
 shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
                          request_log& log, callbacks cb)
-    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log}, callbacks_{std::move(cb)}
+    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log},
+      callbacks_{std::move(cb)}, placer_{{workers_, jobs_, model_, profile_, lingering_tasks_},
+                                         [this](job_run& job, task_position position,
+                                                managed_worker& worker, time_point now) {
+                                             order_start(job, position, worker, now);
+                                         }}
 {
 }
 
@@ -183,27 +165,26 @@
     return std::all_of(order.steps.begin(), order.steps.end(), [&](const wire::job_step& step) {
         const auto demand = demand_of(step);
         return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
-            const auto& entry = one.second.session->entry();
-            return one.second.listed && known_to_requester(one.second, order) &&
-                   entry.service == order.service && entry.capacity.fits(demand) &&
-                   (step.required_label.empty() || has_label(entry, step.required_label));
+            const auto& worker = one.second;
+            return worker.listed && worker.known_to_requester(order) && worker.suits(order, step) &&
+                   worker.session->entry().capacity.fits(demand);
         });
     });
 }
 
-std::uint64_t shard_owner::capacity_milli() const
+usable_capacity shard_owner::usable() const
 {
-    std::uint64_t capacity = 0;
+    usable_capacity usable;
     for (const auto& [id, worker] : workers_) {
-        if (accepts_tasks(worker))
-            capacity += static_cast<std::uint64_t>(worker.session->entry().capacity.cpu_milli);
+        if (worker.accepts_tasks())
+            usable.add(worker.session->entry().capacity, worker.session->free());
     }
-    return capacity;
+    return usable;
 }
 
 duration shard_owner::backlog_before(time_point latest_start) const
 {
-    const auto capacity = capacity_milli();
+    const auto capacity = usable().capacity_milli();
     if (capacity == 0)
         return seconds{10};
     std::uint64_t work = 0;
@@ -222,34 +203,14 @@
     return backlog_before(time_point::max());
 }
 
-std::uint64_t shard_owner::startable_tasks(const resources& demand) const
-{
-    std::uint64_t tasks = 0;
-    for (const auto& [id, worker] : workers_) {
-        if (accepts_tasks(worker))
-            tasks += fitting_tasks(worker.session->free(), demand);
-    }
-    return tasks;
-}
-
-std::uint64_t shard_owner::used_milli() const
-{
-    std::uint64_t used = 0;
-    for (const auto& [id, worker] : workers_) {
-        if (accepts_tasks(worker))
-            used += static_cast<std::uint64_t>(std::max<std::int64_t>(
-                worker.session->entry().capacity.cpu_milli - worker.session->free().cpu_milli, 0));
-    }
-    return used;
-}
-
 shard_load shard_owner::load_for(std::uint32_t priority, const resources& demand,
                                  double ahead_milli, time_point now) const
 {
+    const auto workers = usable();
     shard_load load;
-    load.usable_milli =
-        static_cast<double>(startable_tasks(demand)) * static_cast<double>(demand.cpu_milli);
-    load.used_milli = static_cast<double>(used_milli());
+    load.usable_milli = static_cast<double>(workers.startable_tasks(demand)) *
+                        static_cast<double>(demand.cpu_milli);
+    load.used_milli = static_cast<double>(workers.used_milli());
     load.ahead_milli = ahead_milli;
     load.more_urgent_rate = profile_.more_urgent_rate(priority, now);
     load.mean_run_time = profile_.mean_run_time(now);
@@ -262,7 +223,7 @@
         return std::nullopt;
     wire::shard_room room;
     const resources typical{profile_.typical_demand(now), 0, 0};
-    room.startable_tasks = static_cast<std::uint32_t>(startable_tasks(typical));
+    room.startable_tasks = static_cast<std::uint32_t>(usable().startable_tasks(typical));
     for (const auto priority : profile_.priorities()) {
         const auto ahead = static_cast<double>(queue_.demand_milli(priority));
         const auto wait =
@@ -274,23 +235,6 @@
     return room;
 }
 
-std::uint64_t shard_owner::free_milli() const
-{
-    std::uint64_t free = 0;
-    for (const auto& [id, worker] : workers_) {
-        if (accepts_tasks(worker))
-            free += static_cast<std::uint64_t>(
-                std::max<std::int64_t>(worker.session->free().cpu_milli, 0));
-    }
-    return free;
-}
-
-std::size_t shard_owner::usable_workers() const
-{
-    return static_cast<std::size_t>(std::count_if(
-        workers_.begin(), workers_.end(), [](auto& one) { return accepts_tasks(one.second); }));
-}
-
 bool shard_owner::takeover_complete() const
 {
     return token_ != 0 && !suspended_ && !workers_.empty() &&
@@ -447,7 +391,7 @@
             .add("ahead_milli", queue_.demand_milli(job.priority))
             .add("need_milli", job.waiting_demand())
             .add("free_milli", free_milli())
-            .add("used_milli", used_milli())
+            .add("used_milli", usable().used_milli())
             .add("run_ms", to_ms(profile_.mean_run_time(now).value_or(duration{0})))
             .add("retry_after_ms", retry_after)
             .write();
@@ -495,20 +439,18 @@
     if (scheduling_ || leaving_ || suspended_ || paused)
         return;
     scheduling_ = true;
-    std::map<std::string, std::int64_t> blocked;
+    placer_.begin_pass();
     const auto priorities = queue_.priorities();
     for (const auto priority : priorities) {
         if (priority != priorities.front())
-            start_waiting(priority, blocked, true, now);
+            start_waiting(priority, true, now);
     }
     for (const auto priority : priorities)
-        start_waiting(priority, blocked, false, now);
+        start_waiting(priority, false, now);
     scheduling_ = false;
 }
 
-void shard_owner::start_waiting(std::uint32_t priority,
-                                std::map<std::string, std::int64_t>& blocked,
-                                bool reserved_share_only, time_point now)
+void shard_owner::start_waiting(std::uint32_t priority, bool reserved_share_only, time_point now)
 {
     const auto& waiting = queue_.jobs(priority);
     int skipped = 0;
@@ -516,161 +458,23 @@
         if (reserved_share_only && !queue_.below_reserved_share(priority, now))
             return;
         auto& job = *jobs_.at(it->job);
+        const auto start_by = job.started ? job.deadline : it->latest_start;
         // The job's place changes when some of its tasks have been started.
         ++it;
         if (job.orphaned_since)
             continue;
-        const auto smallest = std::min_element(
-            job.order.steps.begin(), job.order.steps.end(),
-            [](const auto& a, const auto& b) { return a.cpu_milli < b.cpu_milli; });
-        const auto found = blocked.find(job.order.service);
-        if (found != blocked.end() && smallest->cpu_milli >= found->second) {
-            ++skipped;
-            continue;
-        }
         const auto former = job.placeable();
-        if (place(job, now)) {
+        if (placer_.place(job, {objective(job), start_by}, now)) {
             job.waits = false;
             queue_.erase(job.order.job);
             continue;
         }
         if (job.placeable() != former)
             queue_.put(queue_entry(job));
-        if (job.order.steps.size() == 1 && smallest->required_label.empty() && !smallest->gang &&
-            smallest->max_per_worker == 0)
-            blocked[job.order.service] = smallest->cpu_milli;
         ++skipped;
     }
 }
 
-bool shard_owner::place(job_run& job, time_point now)
-{
-    bool all = true;
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        if (!job.step_ready(step))
-            continue;
-        if (job.order.steps[step].gang) {
-            all = place_gang(job, step, now) && all;
-            continue;
-        }
-        for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            if (job.steps[step].tasks[index].state != task_state::waiting)
-                continue;
-            if (!place_task(job, {step, index}, now)) {
-                all = false;
-                break;
-            }
-        }
-    }
-    return all;
-}
-
-bool shard_owner::place_gang(job_run& job, std::size_t step, time_point now)
-{
-    auto& tasks = job.steps[step].tasks;
-    if (job.steps[step].done == tasks.size() || job.steps[step].active > 0)
-        return true;
-    const auto demand = demand_of(job.order.steps[step]);
-    // Gang members start only if all of them fit at the same time.
-    std::map<std::string, std::size_t> planned;
-    std::size_t found = 0;
-    for (auto& [id, worker] : workers_) {
-        auto free = worker.session->free();
-        while (found < tasks.size() && free.fits(demand) &&
-               admits(worker, job, {step, found}, now) &&
-               (job.order.steps[step].max_per_worker == 0 ||
-                planned[id] < job.order.steps[step].max_per_worker)) {
-            free -= demand;
-            ++planned[id];
-            ++found;
-        }
-    }
-    if (found < tasks.size())
-        return false;
-    const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
-                         return a.run < b.run;
-                     })->run;
-    std::size_t index = 0;
-    for (const auto& [id, count] : planned) {
-        for (std::size_t i = 0; i < count; ++i, ++index) {
-            tasks[index].run = run;
-            order_start(job, {step, index}, workers_.at(id), now);
-        }
-    }
-    return true;
-}
-
-bool shard_owner::below_spread_limit(const job_run& job, task_position position,
-                                     const std::string& worker) const
-{
-    const auto limit = job.order.steps[position.step].max_per_worker;
-    if (limit == 0)
-        return true;
-    const auto& tasks = job.steps[position.step].tasks;
-    const auto there = std::count_if(tasks.begin(), tasks.end(), [&](const task_run& task) {
-        return task.state == task_state::active && task.worker == worker;
-    });
-    return static_cast<std::uint32_t>(there) < limit;
-}
-
-bool shard_owner::admits(const managed_worker& worker, const job_run& job, task_position position,
-                         time_point now) const
-{
-    const auto& session = *worker.session;
-    const auto& entry = session.entry();
-    const auto& step = job.order.steps[position.step];
-    return accepts_tasks(worker) && now >= worker.avoid_until &&
-           known_to_requester(worker, job.order) && entry.service == job.order.service &&
-           session.free().fits(demand_of(step)) &&
-           (step.required_label.empty() || has_label(entry, step.required_label)) &&
-           below_spread_limit(job, position, entry.id);
-}
-
-bool shard_owner::place_task(job_run& job, task_position position, time_point now)
-{
-    if (lingering_tasks_.contains(job.task_name(position)))
-        return false;
-    auto* worker = choose_worker(job, position, demand_of(job.order.steps[position.step]), now);
-    if (worker == nullptr)
-        return false;
-    order_start(job, position, *worker, now);
-    return true;
-}
-
-shard_owner::managed_worker* shard_owner::choose_worker(const job_run& job, task_position position,
-                                                        const resources& demand, time_point now)
-{
-    const auto& step = job.order.steps[position.step];
-    const duration estimate = milliseconds{step.estimate_ms};
-    const auto target = objective(job);
-    const auto& last_worker = job.steps[position.step].tasks[position.index].worker;
-    managed_worker* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
-    for (auto& [id, worker] : workers_) {
-        if (!admits(worker, job, position, now))
-            continue;
-        const auto expected = model_.expected(job.order.queue, estimate, id);
-        const auto finish = now + from_seconds(to_seconds(expected) * run_time_margin);
-        const auto left = worker.session->free().cpu_milli - demand.cpu_milli;
-        // Among workers that meet the objective, prefer the slowest, then the fullest, so that fast
-        // workers stay free for long tasks. If none meets it, prefer the fastest.
-        double cost = to_seconds(expected);
-        if (finish <= target)
-            cost = -1e3 + 100 * model_.speed(id) +
-                   static_cast<double>(left) /
-                       static_cast<double>(worker.session->entry().capacity.cpu_milli);
-        if (!step.data_rack.empty() && !has_label(worker.session->entry(), step.data_rack))
-            cost += 2 * to_seconds(expected);
-        if (id == last_worker)
-            cost += 1e4;
-        if (cost < best_cost) {
-            best_cost = cost;
-            best = &worker;
-        }
-    }
-    return best;
-}
-
 void shard_owner::order_start(job_run& job, task_position position, managed_worker& worker,
                               time_point now)
 {
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -4,13 +4,16 @@
 #include <cstdint>
 #include <fleet/admission_forecast.h>
 #include <fleet/demand_profile.h>
+#include <fleet/job_placer.h>
 #include <fleet/job_queue.h>
 #include <fleet/job_run.h>
+#include <fleet/managed_worker.h>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
 #include <fleet/shard_plan.h>
 #include <fleet/types.h>
+#include <fleet/usable_capacity.h>
 #include <fleet/worker_session.h>
 #include <functional>
 #include <map>
@@ -114,7 +117,7 @@
     bool takeover_complete() const;
 
     /// Free processor time of the usable workers, in thousandths of a core.
-    std::uint64_t free_milli() const;
+    std::uint64_t free_milli() const { return usable().free_milli(); }
     /// Estimated time in which the usable workers can run all waiting tasks; 10 s if none is
     /// usable.
     duration backlog() const;
@@ -122,7 +125,7 @@
     std::optional<wire::shard_room> room(time_point now) const;
     std::size_t jobs() const noexcept { return jobs_.size(); }
     std::size_t workers() const noexcept { return workers_.size(); }
-    std::size_t usable_workers() const;
+    std::size_t usable_workers() const { return usable().workers(); }
 
     // session_observer
     void task_ended(worker_session& worker, const tracked_task& task, task_end end,
@@ -133,30 +136,6 @@
     void availability_changed(time_point now) override;
 
 private:
-    /// A worker with its hand-over state and its record of failures.
-    struct managed_worker {
-        std::shared_ptr<worker_session> session;
-        std::uint64_t added_in = 0; ///< revision of the list with which it was added
-        bool listed = true;         ///< false: it is kept only until its tasks have ended
-        bool held_by_predecessor = false;
-        bool released = false;
-        std::uint32_t consecutive_failures = 0;
-        time_point avoid_until{};
-        duration last_avoidance{};
-    };
-    using job_map = std::map<std::string, std::unique_ptr<job_run>>;
-
-    /// True if tasks may be started on the worker.
-    static bool accepts_tasks(const managed_worker& worker)
-    {
-        return worker.listed && worker.session->usable();
-    }
-    /// True if the job may start on the worker: its requester must know all workers that may run
-    /// its tasks, to tell whether a later owner has taken over all of them.
-    static bool known_to_requester(const managed_worker& worker, const wire::job_order& order)
-    {
-        return order.worker_revision == 0 || worker.added_in <= order.worker_revision;
-    }
     void add_worker(const worker_entry& entry, std::uint64_t revision, time_point now);
     /// Takes over a changed entry. What was learned of an earlier incarnation is discarded.
     void update_entry(managed_worker& worker, const worker_entry& entry, time_point now);
@@ -164,7 +143,7 @@
     bool satisfiable(const wire::job_order& order) const;
     /// Part of the backlog that is due to jobs whose latest start is not after the given one.
     duration backlog_before(time_point latest_start) const;
-    std::uint64_t capacity_milli() const;
+    usable_capacity usable() const;
     /// Time by which the job should complete: its arrival, the expected run time of its critical
     /// path times `stretch`, and the target of its queue.
     time_point objective(const job_run& job) const;
@@ -180,9 +159,6 @@
     /// \param ahead_milli demand of the waiting tasks that go before it
     shard_load load_for(std::uint32_t priority, const resources& demand, double ahead_milli,
                         time_point now) const;
-    /// Number of tasks with the demand that could start now.
-    std::uint64_t startable_tasks(const resources& demand) const;
-    std::uint64_t used_milli() const;
     /// Wait after which the job cannot meet its objective any more; none if it can start in time.
     std::optional<duration> excessive_wait(const job_run& job, time_point now) const;
     /// True if the job may wait; otherwise it has been refused.
@@ -193,21 +169,9 @@
     void check_waiting(time_point now);
     void schedule(time_point now);
     /// Starts waiting jobs of the priority as far as resources permit.
-    /// \param blocked by service: processor demand for which no worker was found; demands that are
-    ///        at least as large are skipped
     /// \param reserved_share_only ends once these jobs have had their reserved share
-    void start_waiting(std::uint32_t priority, std::map<std::string, std::int64_t>& blocked,
-                       bool reserved_share_only, time_point now);
+    void start_waiting(std::uint32_t priority, bool reserved_share_only, time_point now);
     std::uint32_t retry_after_ms(const job_run& job, time_point now) const;
-    bool place(job_run& job, time_point now);
-    bool place_gang(job_run& job, std::size_t step, time_point now);
-    bool place_task(job_run& job, task_position position, time_point now);
-    managed_worker* choose_worker(const job_run& job, task_position position,
-                                  const resources& demand, time_point now);
-    bool admits(const managed_worker& worker, const job_run& job, task_position position,
-                time_point now) const;
-    bool below_spread_limit(const job_run& job, task_position position,
-                            const std::string& worker) const;
     void order_start(job_run& job, task_position position, managed_worker& worker, time_point now);
     void avoid(managed_worker& worker, std::string_view reason, time_point now);
     void finish(const std::string& job, wire::job_end end, time_point now);
@@ -231,7 +195,7 @@
     request_log& log_;
     callbacks callbacks_;
     run_time_model model_;
-    std::map<std::string, managed_worker> workers_;
+    worker_map workers_;
     shared_worker_list workers_in_use_ = std::make_shared<const worker_list>();
     job_map jobs_;
     job_queue queue_;
@@ -239,6 +203,7 @@
     /// Tasks of ended jobs that may still be on a worker; they are not started again before their
     /// end is known.
     std::map<std::string, std::string> lingering_tasks_; ///< worker by task
+    job_placer placer_;
     std::uint64_t token_ = 0;
     time_point next_progress_check_{};
     time_point next_waiting_check_{};
--- a/modules/fleet/tests/decisions_test.cpp
+++ b/modules/fleet/tests/decisions_test.cpp
@@ -386,6 +386,43 @@
     EXPECT_EQ(fixture.port.starts.size(), 2U);
 }
 
+// Guards against a large task that starves while smaller ones take the room that it waits for on
+// every worker.
+TEST(shard_owner, smaller_tasks_leave_one_worker_to_the_first_that_waits)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 16000), worker("b", 16000)});
+    fixture.owner.submit(fixture.order("j", {step(2, 9000)}), "h", start);
+    fixture.owner.submit(fixture.order("large", {step(1, 12000)}), "h", start);
+    fixture.owner.submit(fixture.order("small", {step(2, 7000)}), "h", start + milliseconds{10});
+    ASSERT_EQ(fixture.port.starts.size(), 3U);
+    EXPECT_EQ(fixture.port.starts[2].order.task, "small.0.0.0");
+    const auto& reserved = fixture.port.starts[2].order.to.id == "a" ? "b" : "a";
+    const auto first = std::find_if(fixture.port.starts.begin(), fixture.port.starts.end(),
+                                    [&](const auto& one) { return one.order.to.id == reserved; });
+    const auto poll = std::find_if(fixture.port.polls.begin(), fixture.port.polls.end(),
+                                   [&](const auto& one) { return one.order.to.id == reserved; });
+    ASSERT_NE(poll, fixture.port.polls.end());
+    std::rotate(fixture.port.polls.begin(), poll, poll + 1);
+    end_task(fixture, first->order.task, start + milliseconds{50});
+    ASSERT_EQ(fixture.port.starts.size(), 4U);
+    EXPECT_EQ(fixture.port.starts[3].order.task, "large.0.0.0");
+    EXPECT_EQ(fixture.port.starts[3].order.to.id, reserved);
+}
+
+// Guards against a job that keeps others waiting that fit: it lacks memory, not processor time.
+TEST(shard_owner, job_without_memory_does_not_keep_others_waiting)
+{
+    owner_fixture fixture;
+    fixture.add_workers({worker("a", 64000), worker("b", 64000)});
+    auto memory = step(3, 1000);
+    memory.memory_mb = 600;
+    fixture.owner.submit(fixture.order("j", {memory}), "h", start);
+    ASSERT_EQ(fixture.port.starts.size(), 2U);
+    fixture.owner.submit(fixture.order("k", {step(1, 2000)}), "h", start);
+    EXPECT_EQ(fixture.port.starts.size(), 3U);
+}
+
 // Guards against gang members that start without the others, and occupy workers while they wait.
 TEST(shard_owner, gang_starts_whole_or_not_at_all)
 {
