--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -9,6 +9,7 @@
 
 #include <fleet/admission_forecast.h>
 #include <fleet/adoption_probe.h>
+#include <fleet/backfill.h>
 #include <fleet/cancelled_jobs.h>
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
@@ -22,6 +23,7 @@
 #include <fleet/job_run.h>
 #include <fleet/owner_choice.h>
 #include <fleet/owner_view.h>
+#include <fleet/placement.h>
 #include <fleet/ports.h>
 #include <fleet/progress_check.h>
 #include <fleet/report_schedule.h>
@@ -34,6 +36,7 @@
 #include <fleet/topic_follower.h>
 #include <fleet/topic_reader.h>
 #include <fleet/types.h>
+#include <fleet/usable_capacity.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_directory.h>
 #include <fleet/worker_session.h>
--- a/modules/fleet/tests/owner_fixture.h
+++ b/modules/fleet/tests/owner_fixture.h
@@ -60,7 +60,8 @@
                 {[this](const std::string&, const wire::job_result& result, time_point) {
                      results.push_back(result);
                  },
-                 [](time_point) {}, [](const std::string&) {}}}
+                 [](time_point) {},
+                 [this](const std::string& worker) { released.push_back(worker); }}}
     {
     }
 
@@ -103,6 +104,7 @@
     metrics::registry metrics;
     request_log log;
     std::vector<wire::job_result> results;
+    std::vector<std::string> released; ///< workers, in the order of their release
     std::size_t polls_answered = 0;
     std::uint64_t revision = 0; ///< of the last list of workers
     shard_owner owner;
