--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -187,6 +187,10 @@
         !backfill_.begin_search(service, job.order.job, now))
         return;
     const auto demand = demand_of(job.order.steps[position->step]);
+    // Resources that stay free for the job are lost to others, and a demand of about the usual size
+    // finds room without a reservation.
+    if (demand.cpu_milli * 4 < shard_.profile.typical_demand() * 5)
+        return;
     std::string best;
     auto earliest = start_by;
     for (const auto& [id, worker] : shard_.workers) {
--- a/modules/fleet/progress_check.h
+++ b/modules/fleet/progress_check.h
@@ -19,7 +19,7 @@
 /// What to make of a run's progress.
 ///  - `normal`: it goes on.
 ///  - `slow`: it takes a multiple of the estimate. Either the worker is slow, or the estimate is
-///    wrong; another worker will show which.
+///    wrong; other tasks on the worker show which.
 ///  - `stalled`: it makes no progress.
 enum class progress_verdict : std::uint8_t { normal, slow, stalled };
 
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -817,41 +817,46 @@
         worker.session->close();
 }
 
-void shard_owner::check_progress(time_point now)
+progress_verdict shard_owner::progress_of(const tracked_task& tracked)
 {
-    for (auto& [id, worker] : workers_) {
-        auto& session = *worker.session;
-        if (!session.answering())
+    const auto job = jobs_.find(job_run::job_of(tracked.task));
+    if (tracked.stop_ordered || tracked.percent_at == time_point{} || job == jobs_.end())
+        return progress_verdict::normal;
+    const auto position = job_run::position_of(tracked.task);
+    const duration estimate = milliseconds{job->second->order.steps[position.step].estimate_ms};
+    run_progress run;
+    run.expected = model_.nominal(job->second->order.queue, estimate);
+    run.elapsed = tracked.percent_at - tracked.ordered_at;
+    run.since_rise = tracked.percent_at - std::max(tracked.percent_risen_at, tracked.ordered_at);
+    run.percent = tracked.percent;
+    run.stopped_as_slow = job->second->task(position).stopped_as_slow;
+    return judge_progress(run);
+}
+
+void shard_owner::check_progress(managed_worker& worker, time_point now)
+{
+    std::vector<std::string> stalled;
+    std::vector<std::string> slow;
+    std::set<std::string> slow_jobs;
+    for (const auto& [name, tracked] : worker.session->tasks()) {
+        const auto verdict = progress_of(tracked);
+        if (verdict == progress_verdict::stalled)
+            stalled.push_back(name);
+        if (verdict != progress_verdict::slow)
             continue;
-        for (const auto& [name, tracked] : session.tasks()) {
-            if (tracked.stop_ordered || tracked.percent_at == time_point{})
-                continue;
-            const auto job = jobs_.find(job_run::job_of(tracked.task));
-            if (job == jobs_.end())
-                continue;
-            const auto position = job_run::position_of(name);
-            const duration estimate =
-                milliseconds{job->second->order.steps[position.step].estimate_ms};
-            auto& task = job->second->task(position);
-            run_progress run;
-            run.expected = model_.nominal(job->second->order.queue, estimate);
-            run.elapsed = tracked.percent_at - tracked.ordered_at;
-            run.since_rise =
-                tracked.percent_at - std::max(tracked.percent_risen_at, tracked.ordered_at);
-            run.percent = tracked.percent;
-            run.stopped_as_slow = task.stopped_as_slow;
-            const auto verdict = judge_progress(run);
-            if (verdict == progress_verdict::normal)
-                continue;
-            task.stopped_as_slow = true;
-            // A single slow task may have a wrong estimate, which says nothing of the worker.
-            const bool worker_at_fault =
-                verdict == progress_verdict::stalled ||
-                ++worker.consecutive_failures >= avoidance_failure_threshold;
-            if (worker_at_fault && worker.avoid_until <= now)
-                avoid(worker, "task is " + std::string{to_name(verdict)}, now);
-            session.stop(std::string{name}, now);
-        }
+        slow.push_back(name);
+        slow_jobs.insert(job_run::job_of(name));
+    }
+    // The tasks of a single job may share a wrong estimate, which says nothing of the worker.
+    if (slow_jobs.size() > 1)
+        stalled.insert(stalled.end(), slow.begin(), slow.end());
+    if (stalled.empty())
+        return;
+    if (worker.avoid_until <= now)
+        avoid(worker, slow_jobs.size() > 1 ? "tasks are slow" : "task is stalled", now);
+    for (const auto& name : stalled) {
+        jobs_.at(job_run::job_of(name))->task(job_run::position_of(name)).stopped_as_slow = true;
+        worker.session->stop(name, now);
     }
 }
 
@@ -902,7 +907,10 @@
     }
     if (now >= next_progress_check_) {
         next_progress_check_ = now + progress_check_interval;
-        check_progress(now);
+        for (auto& [id, worker] : workers_) {
+            if (worker.session->answering())
+                check_progress(worker, now);
+        }
     }
     if (now >= next_waiting_check_) {
         next_waiting_check_ = now + waiting_check_interval;
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -9,6 +9,7 @@
 #include <fleet/job_run.h>
 #include <fleet/managed_worker.h>
 #include <fleet/ports.h>
+#include <fleet/progress_check.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
 #include <fleet/shard_plan.h>
@@ -193,7 +194,9 @@
     void stop_tasks(const job_run& job, time_point now);
     /// Stops the members of a gang that are active: they would wait in vain for one that has ended.
     void stop_gang(const job_run& job, std::size_t step, time_point now);
-    void check_progress(time_point now);
+    progress_verdict progress_of(const tracked_task& tracked);
+    /// Stops the stalled tasks of the worker, and its slow ones if the worker is at fault.
+    void check_progress(managed_worker& worker, time_point now);
     void check_deadlines(time_point now);
     void release_idle_workers(time_point now);
     void count_end(wire::job_end end);
