--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -22,7 +22,6 @@
     std::string worker; ///< of the last run
     time_point ordered_at{};
     std::string saved;
-    bool stopped_as_slow = false; ///< a run was stopped since it took a multiple of the estimate
 };
 
 struct step_run {
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -817,46 +817,28 @@
         worker.session->close();
 }
 
-progress_verdict shard_owner::progress_of(const tracked_task& tracked)
+bool shard_owner::has_stalled(const tracked_task& tracked) const
 {
     const auto job = jobs_.find(job_run::job_of(tracked.task));
     if (tracked.stop_ordered || tracked.percent_at == time_point{} || job == jobs_.end())
-        return progress_verdict::normal;
-    const auto position = job_run::position_of(tracked.task);
-    const duration estimate = milliseconds{job->second->order.steps[position.step].estimate_ms};
+        return false;
+    const auto& order = job->second->order;
+    const auto& step = order.steps[job_run::position_of(tracked.task).step];
     run_progress run;
-    run.expected = model_.nominal(job->second->order.queue, estimate);
+    run.expected = model_.nominal(order.queue, milliseconds{step.estimate_ms});
     run.elapsed = tracked.percent_at - tracked.ordered_at;
     run.since_rise = tracked.percent_at - std::max(tracked.percent_risen_at, tracked.ordered_at);
-    run.percent = tracked.percent;
-    run.stopped_as_slow = job->second->task(position).stopped_as_slow;
-    return judge_progress(run);
+    return is_stalled(run);
 }
 
 void shard_owner::check_progress(managed_worker& worker, time_point now)
 {
-    std::vector<std::string> stalled;
-    std::vector<std::string> slow;
-    std::set<std::string> slow_jobs;
     for (const auto& [name, tracked] : worker.session->tasks()) {
-        const auto verdict = progress_of(tracked);
-        if (verdict == progress_verdict::stalled)
-            stalled.push_back(name);
-        if (verdict != progress_verdict::slow)
+        if (!has_stalled(tracked))
             continue;
-        slow.push_back(name);
-        slow_jobs.insert(job_run::job_of(name));
-    }
-    // The tasks of a single job may share a wrong estimate, which says nothing of the worker.
-    if (slow_jobs.size() > 1)
-        stalled.insert(stalled.end(), slow.begin(), slow.end());
-    if (stalled.empty())
-        return;
-    if (worker.avoid_until <= now)
-        avoid(worker, slow_jobs.size() > 1 ? "tasks are slow" : "task is stalled", now);
-    for (const auto& name : stalled) {
-        jobs_.at(job_run::job_of(name))->task(job_run::position_of(name)).stopped_as_slow = true;
-        worker.session->stop(name, now);
+        if (worker.avoid_until <= now)
+            avoid(worker, "task does not progress", now);
+        worker.session->stop(std::string{name}, now);
     }
 }
 
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -194,8 +194,8 @@
     void stop_tasks(const job_run& job, time_point now);
     /// Stops the members of a gang that are active: they would wait in vain for one that has ended.
     void stop_gang(const job_run& job, std::size_t step, time_point now);
-    progress_verdict progress_of(const tracked_task& tracked);
-    /// Stops the stalled tasks of the worker, and its slow ones if the worker is at fault.
+    bool has_stalled(const tracked_task& tracked) const;
+    /// Stops the tasks that have stalled on the worker, and avoids it.
     void check_progress(managed_worker& worker, time_point now);
     void check_deadlines(time_point now);
     void release_idle_workers(time_point now);
