Start no task in a failure domain that an operator has drained

The store client cleared every record of the operators' topic but the configuration, so that the record evacuate/DOMAIN had no effect. A decoder in platform/ now tells from a key what its record is; store_reader hands the core the complete set of drains with the offset that it is based on, and only then the configuration. The newest offset wins, also when it comes in a peer's report. Routers send nothing to owners of drained domains; these start nothing, give back jobs that have not started and end others as interrupted once none of their tasks is active. If all domains are drained, callers are refused at once.

--- a/apps/chivewharfd/platform_program.cpp
+++ b/apps/chivewharfd/platform_program.cpp
@@ -29,7 +29,8 @@
     adapters.store = std::make_unique<platform::store_client>(to_text(settings.store));
     adapters.callers = std::make_unique<platform::job_front>(to_text(settings.callers),
                                                              to_text(settings.readiness));
-    adapters.records = {platform::decode_worker, platform::decode_host};
+    adapters.records = {platform::decode_worker, platform::decode_host,
+                        platform::decode_operator_key};
     adapters.config = platform::decode_config;
     return adapters;
 }
--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <utility>
 
 namespace chivewharf::daemon {
 
@@ -20,6 +21,8 @@
 constexpr duration read_check_interval = milliseconds{50};
 constexpr duration initial_backoff = milliseconds{100};
 constexpr duration max_backoff = milliseconds{1000};
+/// Bounds the memory and the log lines that keys of other writers can cause.
+constexpr std::size_t max_logged_keys = 1000;
 
 } // namespace
 
@@ -115,7 +118,9 @@
     }
     topic.failures = 0;
     core_.store_answered(true, now);
-    for (const auto& records : topic.reader.read_answered(reply, now))
+    const auto messages = topic.reader.read_answered(reply, now);
+    apply_operator_records(topic, now);
+    for (const auto& records : messages)
         core_.pass_on(records);
     note_complete(topic);
     read_due_topics();
@@ -127,6 +132,7 @@
         return;
     auto& topic = *topics_[records.topic];
     topic.reader.passed_on(records, now);
+    apply_operator_records(topic, now);
     if (topic.reader.current(now))
         core_.store_answered(true, now);
 }
@@ -158,9 +164,7 @@
     const auto now = boot_clock::now();
     switch (topic) {
     case fleet::store_topic::configuration:
-        if (record.value)
-            core_.config_read(*record.value, now);
-        return relay::record;
+        return handle_operator_record(record);
     case fleet::store_topic::workers:
         return handle_worker(record, now);
     case fleet::store_topic::hosts: {
@@ -178,6 +182,49 @@
     return relay::nothing;
 }
 
+fleet::relay store_reader::handle_operator_record(const fleet::keyed_record& record)
+{
+    using fleet::relay;
+    const auto key = decoders_.operator_key(record.key);
+    switch (key.kind) {
+    case fleet::operator_record_kind::configuration:
+        if (record.value)
+            read_config_ = record.value;
+        return relay::record;
+    case fleet::operator_record_kind::drain:
+        if (record.value)
+            drained_domains_.insert(key.domain);
+        else
+            drained_domains_.erase(key.domain);
+        return relay::record;
+    case fleet::operator_record_kind::other:
+        log_unused_key(record.key);
+        return relay::nothing;
+    }
+    return relay::nothing;
+}
+
+void store_reader::log_unused_key(const std::string& key)
+{
+    if (unused_keys_.size() < max_logged_keys && unused_keys_.insert(key).second)
+        log_line{"record_unused"}
+            .add("topic", to_name(fleet::store_topic::configuration))
+            .add("key", key)
+            .write();
+}
+
+void store_reader::apply_operator_records(const followed_topic& topic, time_point now)
+{
+    // Drains go first: a host that has the configuration serves, and must know them by then. They
+    // may be on a later page than the configuration.
+    const auto next = topic.reader.next();
+    if (topic.reader.topic() != fleet::store_topic::configuration || next.newest)
+        return;
+    core_.drains_known(next.offset, drained_domains_, "store", now);
+    if (const auto config = std::exchange(read_config_, std::nullopt))
+        core_.config_read(*config, now);
+}
+
 fleet::relay store_reader::handle_worker(const fleet::keyed_record& record, time_point now)
 {
     using fleet::relay;
--- a/modules/daemon/store_reader.h
+++ b/modules/daemon/store_reader.h
@@ -3,13 +3,17 @@
 #include <array>
 #include <base/rng.h>
 #include <fleet/fleet_host.h>
+#include <fleet/operator_key.h>
 #include <fleet/ports.h>
 #include <fleet/topic_reader.h>
 #include <functional>
 #include <memory>
 #include <metrics/registry.h>
+#include <optional>
 #include <runtime/supervisor.h>
 #include <runtime/timer.h>
+#include <set>
+#include <string>
 
 namespace chivewharf::daemon {
 
@@ -22,6 +26,8 @@
     std::function<result<wire::host_record, std::string>(const std::string& key,
                                                          std::string_view value)>
         host;
+    /// Tells from a key of the operators' topic what its record is about.
+    std::function<fleet::operator_key(const std::string& key)> operator_key;
 };
 
 /// Follows the topics of the platform's store, by reading them or through the host of the failure
@@ -50,6 +56,11 @@
     void note_complete(const followed_topic& topic);
     void announce();
     fleet::relay handle_record(fleet::store_topic topic, const fleet::keyed_record& record);
+    fleet::relay handle_operator_record(const fleet::keyed_record& record);
+    void log_unused_key(const std::string& key);
+    /// Hands the drains and the configuration to the core once all records up to the position in
+    /// the operators' topic are known.
+    void apply_operator_records(const followed_topic& topic, time_point now);
     fleet::relay handle_worker(const fleet::keyed_record& record, time_point now);
     void report_bad_record(fleet::store_topic topic, const std::string& key,
                            const std::string& problem);
@@ -61,6 +72,9 @@
     metrics::registry& metrics_;
     rng random_;
     std::array<std::unique_ptr<followed_topic>, enum_count<fleet::store_topic>> topics_;
+    std::set<std::string> drained_domains_; ///< by the records that this host has read
+    std::optional<std::string> read_config_; ///< not handed to the core yet
+    std::set<std::string> unused_keys_;      ///< keys of the operators' topic that were logged
     runtime::timer read_timer_;
     runtime::timer announce_timer_;
     std::uint32_t announce_failures_ = 0;
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -12,10 +12,12 @@
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
+#include <fleet/drain_state.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
+#include <fleet/operator_key.h>
 #include <fleet/ports.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -34,6 +34,8 @@
 constexpr duration min_host_list_interval = milliseconds{200};
 /// Interval of these requests otherwise, in case the store does not answer.
 constexpr duration host_list_interval = seconds{10};
+/// Bounds the memory and the log lines that drains of unknown domains can cause.
+constexpr std::size_t max_logged_drains = 1000;
 
 } // namespace
 
@@ -120,6 +122,60 @@
     }
 }
 
+void fleet_host::drains_known(std::uint64_t offset, const std::set<std::string>& domains,
+                              std::string_view source, time_point now)
+{
+    if (offset <= drains_.offset())
+        return;
+    std::set<std::string> known;
+    for (const auto& domain : domains) {
+        if (knows_domain(domain))
+            known.insert(domain);
+        else
+            log_unknown_drain(domain, source);
+    }
+    const auto former = drains_.domains();
+    if (!drains_.learn(offset, std::move(known), now))
+        return;
+    log_drains(former, source);
+    metrics_.gauge("chivewharf_drained_domains") = static_cast<double>(drains_.domains().size());
+    // The other hosts must know the drain before they receive the jobs that it sends back.
+    send_report(now);
+    router_->set_drained_domains(drains_.domains(), all_domains_drained());
+    apply_drains(now);
+}
+
+void fleet_host::log_unknown_drain(const std::string& domain, std::string_view source)
+{
+    if (unknown_drains_.size() < max_logged_drains && unknown_drains_.insert(domain).second)
+        log_line{"drain_of_unknown_domain"}.add("domain", domain).add("source", source).warn();
+}
+
+void fleet_host::log_drains(const std::set<std::string>& former, std::string_view source)
+{
+    for (const auto& domain : domains_) {
+        const bool drained = drains_.drained(domain);
+        if (drained != former.contains(domain))
+            log_line{drained ? "drain_begins" : "drain_ends"}
+                .add("domain", domain)
+                .add("offset", drains_.offset())
+                .add("source", source)
+                .write();
+    }
+}
+
+void fleet_host::apply_drains(time_point now)
+{
+    for (auto& [shard, owned] : owned_)
+        owned.owner->set_usable_share(drains_.usable_share(shard.domain, now), now);
+}
+
+bool fleet_host::all_domains_drained() const
+{
+    return std::all_of(domains_.begin(), domains_.end(),
+                       [this](const std::string& domain) { return drains_.drained(domain); });
+}
+
 void fleet_host::fetch_config(time_point now)
 {
     if (!config_.fetch_due(now))
@@ -253,6 +309,8 @@
         auto& max_epoch = max_epoch_[claim.shard.domain];
         max_epoch = std::max(max_epoch, claim.epoch);
     }
+    drains_known(report.operator_offset,
+                 {report.drained_domains.begin(), report.drained_domains.end()}, from, now);
 }
 
 void fleet_host::peer_message(const std::string& host, const wire::message& message, time_point now)
@@ -291,7 +349,7 @@
             host_listed(one, now);
     }
     else if (const auto* read = std::get_if<wire::store_records>(&message)) {
-        if (store_records_handler_)
+        if (store_records_handler_ && passes_on_all(host, *read))
             store_records_handler_(*read, now);
     }
 }
@@ -345,6 +403,13 @@
     }
 }
 
+bool fleet_host::passes_on_all(const std::string& host, const wire::store_records& records) const
+{
+    const auto* sender = directory_.find(host);
+    return static_cast<store_topic>(records.topic) != store_topic::configuration ||
+           (sender != nullptr && sender->report && sender->report->operator_offset > 0);
+}
+
 rejection fleet_host::reject(rejection reason, const std::string& job, time_point now)
 {
     ++metrics_.counter("chivewharf_rejections_total",
@@ -554,6 +619,7 @@
         .write();
     ++metrics_.counter("chivewharf_claims_total");
     auto& added = owned_.insert_or_assign(shard, std::move(owned)).first->second;
+    added.owner->set_usable_share(drains_.usable_share(shard.domain, now), now);
     update_workers(*added.owner, workers_.list(), now);
     added.owner->acquire_workers(token(added.epoch), !added.predecessor.empty(), now);
     send_report(now);
@@ -730,6 +796,10 @@
     current.processor_milli = self_.processor_milli;
     current.domains = plan_.all();
     current.accepts_store_records = true;
+    current.operator_offset = drains_.offset();
+    current.drained_domains.assign(drains_.domains().begin(), drains_.domains().end());
+    if (current.drained_domains.size() > wire::max_drained_domains)
+        current.drained_domains.resize(wire::max_drained_domains);
     for (const auto& [shard, owned] : owned_)
         current.claims.push_back({shard,
                                   owned.epoch,
@@ -823,6 +893,7 @@
         next_claim_check_ = now + claim_interval;
         check_claims(now);
     }
+    apply_drains(now);
     for (auto& [shard, owned] : owned_)
         owned.owner->tick(now);
     hand_over(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -8,6 +8,7 @@
 #include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
+#include <fleet/drain_state.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
@@ -72,6 +73,11 @@
     void fence_base_granted(std::uint64_t number);
     /// Applies a record of the configuration. An unreadable or older one is ignored.
     void config_read(const std::string& record, time_point now);
+    /// The complete set of drained domains, as of the records of the operators' topic before
+    /// `offset`. Ignored if this host knows a state that is at least as new.
+    /// \param source of the information, for the log
+    void drains_known(std::uint64_t offset, const std::set<std::string>& domains,
+                      std::string_view source, time_point now);
     /// \return true if the worker differs from the known one, or why it is not used
     result<bool, std::string> worker_listed(worker_entry entry);
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
@@ -163,6 +169,13 @@
     /// Passes changes of the list of workers on to the owned shards.
     void update_workers(time_point now);
     bool knows_domain(const std::string& domain) const;
+    /// Logs a drain of an unknown domain once.
+    void log_unknown_drain(const std::string& domain, std::string_view source);
+    void log_drains(const std::set<std::string>& former, std::string_view source);
+    /// Applies the drains, and the rise of the load after their end, to the owned shards.
+    void apply_drains(time_point now);
+    /// True if no domain is left in which a task may be started.
+    bool all_domains_drained() const;
     void update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
                         time_point now);
     void yield(const wire::shard& shard, time_point now);
@@ -182,6 +195,9 @@
     /// Asks one of the linked hosts for its list if that has not happened for a while.
     void request_host_list(time_point now);
     void send_due_reports(time_point now);
+    /// False for records of the operators' topic from a host of an earlier version, which leaves
+    /// out the drains. This host then misses records and reads the topic itself.
+    bool passes_on_all(const std::string& host, const wire::store_records& records) const;
     void fetch_config(time_point now);
     void broadcast(const wire::message& message);
     /// Ends what this host has of a job that its caller has cancelled.
@@ -218,6 +234,8 @@
     adoption_probe probe_;
     std::map<std::string, std::uint64_t> max_epoch_; ///< highest known epoch, by domain
     config_state config_;
+    drain_state drains_;
+    std::set<std::string> unknown_drains_; ///< drains of unknown domains that were logged
     std::function<void(const wire::store_records&, time_point)> store_records_handler_;
     std::uint64_t config_requests_ = 0;
     std::uint64_t host_list_requests_ = 0;
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <fleet/admission_forecast.h>
 #include <fleet/report_schedule.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
@@ -24,6 +25,8 @@
 /// margin.
 constexpr duration abandoned_task_time_limit = worker_session::max_lease + milliseconds{100};
 constexpr duration default_retry_after = milliseconds{500};
+/// Wait that is assumed for the retry time while every domain is drained.
+constexpr duration drained_retry_wait = seconds{2};
 /// Number of shards that may refuse a job before its caller is refused.
 constexpr std::size_t max_refusals = 3;
 /// Another domain is used only if its backlog is shorter than the home domain's by this much.
@@ -99,7 +102,17 @@
             .add("remaining_ms", added.order.remaining_ms)
             .write();
     }
-    dispatch(added, now);
+    if (refused_by_drain(added))
+        finish_drained(jobs_.find(id), now);
+    else
+        dispatch(added, now);
+}
+
+void job_router::finish_drained(job_map::iterator job, time_point now)
+{
+    const auto& order = job->second.order;
+    finish(job, job->second.may_have_run ? job_answer::lost : job_answer::not_run, "drained",
+           retry_delay(drained_retry_wait, order.priority, order.job), now);
 }
 
 bool job_router::safe_to_send(const routed_job& job, const owner_view& owner, time_point now) const
@@ -146,7 +159,8 @@
 
 bool job_router::dispatch(routed_job& job, time_point now)
 {
-    const auto owners = owners_(now);
+    auto owners = owners_(now);
+    std::erase_if(owners, [this](const owner_view& one) { return drained(one); });
     const auto* owner = choose_owner(job, owners, now);
     if (owner == nullptr)
         return false;
@@ -203,14 +217,16 @@
 {
     auto& job = entry->second;
     job.state = job.unsafe_owner ? job_state::unknown : job_state::unsent;
-    if (reason != wire::job_end::not_owner)
+    // The owner of a drained domain refuses for that reason, and can be asked again later.
+    const bool by_drain = drained(job.owner);
+    if (reason != wire::job_end::not_owner && !by_drain)
         job.refused_by.insert(job.owner.shard);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(reason)} + '"');
     // After `not_owner`, the job waits for the new owner's report; `tick` then sends it again.
     const bool may_try_another = job.refused_by.size() < max_refusals;
     if (reason == wire::job_end::not_owner || (may_try_another && dispatch(job, now)) ||
-        job.unsafe_owner)
+        job.unsafe_owner || (by_drain && job.refused_by.empty()))
         return;
     finish(entry, job.may_have_run ? job_answer::lost : job_answer::not_run, to_name(reason),
            retry_after, now);
@@ -382,16 +398,26 @@
 {
     const deferral_scope deferral{*this, now};
     std::vector<std::string> expired;
+    std::vector<std::string> drained;
     for (auto& [id, job] : jobs_) {
         if (now >= job.deadline) {
             expired.push_back(id);
             continue;
         }
+        if (refused_by_drain(job)) {
+            drained.push_back(id);
+            continue;
+        }
         if (job.state == job_state::sent || dispatch(job, now))
             continue;
         if (!job.may_have_run && now > unsent_deadline(job))
             expired.push_back(id);
     }
+    for (const auto& id : drained) {
+        const auto found = jobs_.find(id);
+        if (found != jobs_.end())
+            finish_drained(found, now);
+    }
     for (const auto& id : expired) {
         const auto found = jobs_.find(id);
         if (found == jobs_.end())
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -65,6 +65,14 @@
     /// unknown are sent to it again.
     void host_reconnected(const std::string& host, std::uint64_t incarnation, time_point now);
 
+    /// Sets the failure domains that no job may be sent to.
+    /// \param all true if these are all domains: jobs that no owner has are refused at once
+    void set_drained_domains(std::set<std::string> domains, bool all)
+    {
+        drained_domains_ = std::move(domains);
+        all_drained_ = all;
+    }
+
     /// Sends jobs that wait for an owner, and ends those whose deadline has passed.
     void tick(time_point now);
 
@@ -109,6 +117,16 @@
     const owner_view* choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
                                    time_point now);
     bool dispatch(routed_job& job, time_point now);
+    bool drained(const owner_view& owner) const
+    {
+        return drained_domains_.contains(owner.shard.domain);
+    }
+    /// True if no owner has the job or may have it, and no domain is left to run it.
+    bool refused_by_drain(const routed_job& job) const
+    {
+        return all_drained_ && job.state != job_state::sent && !job.unsafe_owner;
+    }
+    void finish_drained(job_map::iterator job, time_point now);
     void send_to(routed_job& job, const owner_view& owner, time_point now);
     void on_refusal(job_map::iterator job, wire::job_end reason, duration retry_after,
                     time_point now);
@@ -130,6 +148,8 @@
     std::map<std::uint64_t, std::string> job_by_request_;
     std::vector<deferred_result> deferred_results_;
     int deferral_depth_ = 0;
+    std::set<std::string> drained_domains_;
+    bool all_drained_ = false;
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -195,6 +195,8 @@
         if (accepts_tasks(worker))
             capacity += static_cast<std::uint64_t>(worker.session->entry().capacity.cpu_milli);
     }
+    if (usable_share_ < 1)
+        return static_cast<std::uint64_t>(static_cast<double>(capacity) * usable_share_);
     return capacity;
 }
 
@@ -226,6 +228,8 @@
         if (accepts_tasks(worker))
             tasks += fitting_tasks(worker.session->free(), demand);
     }
+    if (usable_share_ < 1 && demand.cpu_milli > 0)
+        return std::min(tasks, free_milli() / static_cast<std::uint64_t>(demand.cpu_milli));
     return tasks;
 }
 
@@ -279,9 +283,35 @@
             free += static_cast<std::uint64_t>(
                 std::max<std::int64_t>(worker.session->free().cpu_milli, 0));
     }
+    if (usable_share_ < 1) {
+        const auto limit = capacity_milli();
+        return std::min(free, limit - std::min(limit, used_milli()));
+    }
     return free;
 }
 
+bool shard_owner::share_admits(std::int64_t cpu_milli) const
+{
+    if (usable_share_ >= 1)
+        return true;
+    const auto used = used_milli();
+    return !drained() &&
+           (used == 0 || used + static_cast<std::uint64_t>(cpu_milli) <= capacity_milli());
+}
+
+void shard_owner::set_usable_share(double share, time_point now)
+{
+    if (usable_share_ == share)
+        return;
+    usable_share_ = share;
+    if (drained()) {
+        give_back_unstarted(wire::job_end::overloaded, now);
+        end_idle_jobs(now);
+        return;
+    }
+    schedule(now);
+}
+
 std::size_t shard_owner::usable_workers() const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -388,12 +418,15 @@
                 .add("waiting", std::uint64_t{queue_.size()})
                 .add("free_milli", free_milli())
                 .add("usable_workers", std::uint64_t{usable_workers()})
+                .add("drained", drained() ? "true" : "false")
                 .write();
         callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
                           now);
     };
     if (leaving_ || suspended_ || token_ == 0)
         return refuse(wire::job_end::not_owner);
+    if (drained())
+        return refuse(wire::job_end::overloaded);
     if (!satisfiable(order))
         return refuse(wire::job_end::impossible);
     auto job = std::make_unique<job_run>(std::move(order), requester, now);
@@ -489,7 +522,7 @@
     // After a pause of the process, its requesters may have sent their jobs elsewhere. The next
     // tick finds out before anything is started.
     const bool paused = last_tick_ != time_point{} && now - last_tick_ > max_pause;
-    if (scheduling_ || leaving_ || suspended_ || paused)
+    if (scheduling_ || leaving_ || suspended_ || paused || drained())
         return;
     scheduling_ = true;
     std::map<std::string, std::int64_t> blocked;
@@ -582,7 +615,8 @@
             ++found;
         }
     }
-    if (found < tasks.size())
+    if (found < tasks.size() ||
+        !share_admits(demand.cpu_milli * static_cast<std::int64_t>(tasks.size())))
         return false;
     const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
                          return a.run < b.run;
@@ -627,7 +661,10 @@
 {
     if (lingering_tasks_.contains(job.task_name(position)))
         return false;
-    auto* worker = choose_worker(job, position, demand_of(job.order.steps[position.step]), now);
+    const auto demand = demand_of(job.order.steps[position.step]);
+    if (!share_admits(demand.cpu_milli))
+        return false;
+    auto* worker = choose_worker(job, position, demand, now);
     if (worker == nullptr)
         return false;
     order_start(job, position, *worker, now);
@@ -939,23 +976,28 @@
         hosts.insert(job->requester);
 }
 
-void shard_owner::leave(time_point now)
+void shard_owner::give_back_unstarted(wire::job_end end, time_point now)
 {
-    leaving_ = true;
     std::vector<std::string> never_started;
     for (const auto& [id, job] : jobs_) {
         if (!job->started)
             never_started.push_back(id);
     }
     for (const auto& id : never_started)
-        finish(id, wire::job_end::not_owner, now);
+        finish(id, end, now);
+}
+
+void shard_owner::leave(time_point now)
+{
+    leaving_ = true;
+    give_back_unstarted(wire::job_end::not_owner, now);
     release_idle_workers(now);
 }
 
-void shard_owner::release_idle_workers(time_point now)
+void shard_owner::end_idle_jobs(time_point now)
 {
-    // A leaving owner starts no tasks, so jobs without active tasks cannot be completed here. The
-    // requester sends them to another owner.
+    // A leaving or drained owner starts no tasks, so jobs without active tasks cannot be completed
+    // here. The requester sends them to another owner.
     std::vector<std::string> stuck;
     for (const auto& [id, job] : jobs_) {
         if (!job->any_active())
@@ -963,6 +1005,11 @@
     }
     for (const auto& id : stuck)
         finish(id, wire::job_end::interrupted, now);
+}
+
+void shard_owner::release_idle_workers(time_point now)
+{
+    end_idle_jobs(now);
     for (auto& [id, worker] : workers_) {
         if (worker.released || !worker.session->tasks().empty())
             continue;
@@ -1053,6 +1100,8 @@
         worker.session->tick(now);
     log_takeover();
     check_deadlines(now);
+    if (drained())
+        end_idle_jobs(now);
     if (leaving_) {
         release_idle_workers(now);
         return;
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -99,6 +99,12 @@
     /// Begins the hand-over: starts no new tasks and releases each worker once no task runs on it.
     void leave(time_point now);
 
+    /// Sets the part of the workers' capacity that may be in use. 0 drains the shard: nothing is
+    /// started, jobs that have not started are given back, and started jobs that need further
+    /// starts end as `interrupted` once none of their tasks is active. Tasks that are active are
+    /// left to finish, and leases are kept.
+    void set_usable_share(double share, time_point now);
+
     bool leaving() const noexcept { return leaving_; }
     /// True once every worker has been released.
     bool released() const;
@@ -113,7 +119,7 @@
     /// predecessor may have used others.
     bool takeover_complete() const;
 
-    /// Free processor time of the usable workers, in thousandths of a core.
+    /// Free processor time of the usable workers, up to the usable share, in thousandths of a core.
     std::uint64_t free_milli() const;
     /// Estimated time in which the usable workers can run all waiting tasks; 10 s if none is
     /// usable.
@@ -223,6 +229,14 @@
     void check_progress(time_point now);
     void check_deadlines(time_point now);
     void release_idle_workers(time_point now);
+    bool drained() const noexcept { return usable_share_ <= 0; }
+    /// Ends the jobs that have not started; their requesters send them to other owners.
+    void give_back_unstarted(wire::job_end end, time_point now);
+    /// Ends the started jobs without an active task as `interrupted`.
+    void end_idle_jobs(time_point now);
+    /// True if so much processor time may be taken besides that in use. While the share is limited,
+    /// one task or gang is always admitted if none runs, so that large ones make progress.
+    bool share_admits(std::int64_t cpu_milli) const;
     void count_end(wire::job_end end);
 
     wire::shard shard_;
@@ -243,6 +257,7 @@
     time_point next_progress_check_{};
     time_point next_waiting_check_{};
     time_point last_tick_{};
+    double usable_share_ = 1;
     bool takeover_logged_ = false;
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
     bool predecessor_leaving_ = false; ///< a predecessor still releases its workers
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -13,6 +13,9 @@
 constexpr duration tick_interval = milliseconds{20};
 constexpr duration resend_after = milliseconds{1300};
 constexpr duration store_interval = milliseconds{500};
+/// No task may start in a domain this long after the request to drain it: a read of the store, a
+/// report, and a margin.
+constexpr duration drain_limit = milliseconds{800};
 /// No task may start this long after the acknowledgement of its job's cancellation.
 constexpr duration cancellation_limit = seconds{3};
 
@@ -163,13 +166,14 @@
 public:
     explicit sim_caller_port(fleet_simulation& simulation) : simulation_{simulation} {}
 
-    void answer(std::uint64_t request, job_answer answer, duration /*retry_after*/) override
+    void answer(std::uint64_t request, job_answer answer, duration retry_after) override
     {
         const auto found = jobs.find(request);
         if (found == jobs.end())
             return;
         const auto job = found->second;
         jobs.erase(found);
+        simulation_.jobs_.at(job).retry_after = retry_after;
         simulation_.answered(job, to_name(answer));
     }
 
@@ -214,7 +218,7 @@
     simulation.schedule(simulation.now_ + network_delay,
                         [&simulation, host = host_, to, message, incarnation = target.incarnation,
                          from_incarnation = from.incarnation] {
-                            if (simulation.cut_hosts_.contains(std::minmax(host, to)) ||
+                            if (simulation.path_cut(host, to) ||
                                 simulation.hosts_.at(host)->incarnation != from_incarnation)
                                 return;
                             simulation.deliver(to, incarnation, [&simulation, host, to, message] {
@@ -351,6 +355,10 @@
     const bool up = store_up_ && !hosts_without_store_.contains(host.name);
     host.core->store_answered(up, now_);
     if (up) {
+        std::set<std::string> drained;
+        for (const auto& [domain, since] : drained_since_)
+            drained.insert(domain);
+        host.core->drains_known(operator_offset_, drained, "store", now_);
         if (!host.core->config() || host.core->config()->version < version_)
             host.core->config_read(config_text(version_), now_);
         for (const auto& [id, worker] : workers_) {
@@ -377,7 +385,7 @@
         for (auto& [b, second] : hosts_) {
             if (a >= b || !first->alive || !second->alive || first->frozen || second->frozen ||
                 first->linked.contains(b) || second->linked.contains(a) ||
-                cut_hosts_.contains(std::minmax(a, b)))
+                path_cut(a, b) || path_cut(b, a))
                 continue;
             first->linked.insert(b);
             second->linked.insert(a);
@@ -400,7 +408,7 @@
     };
     lose(a, b);
     // The other side learns of it only if the path is not cut.
-    if (!cut_hosts_.contains(std::minmax(a, b)))
+    if (!path_cut(a, b))
         schedule(now_ + network_delay, [lose, a, b] { lose(b, a); });
 }
 
@@ -439,6 +447,19 @@
         cut_hosts_.erase(std::minmax(a, b));
 }
 
+void fleet_simulation::cut_direction(const std::string& from, const std::string& to, bool cut_off)
+{
+    if (cut_off)
+        cut_directions_.emplace(from, to);
+    else
+        cut_directions_.erase({from, to});
+}
+
+bool fleet_simulation::path_cut(const std::string& from, const std::string& to) const
+{
+    return cut_hosts_.contains(std::minmax(from, to)) || cut_directions_.contains({from, to});
+}
+
 void fleet_simulation::cut_workers(const std::string& host, bool cut_off)
 {
     if (cut_off)
@@ -464,6 +485,22 @@
 void fleet_simulation::publish(std::uint64_t version)
 {
     version_ = version;
+    ++operator_offset_;
+}
+
+void fleet_simulation::drain(const std::string& domain, bool drained)
+{
+    ++operator_offset_;
+    if (drained)
+        drained_since_.try_emplace(domain, now_);
+    else
+        drained_since_.erase(domain);
+}
+
+std::uint64_t fleet_simulation::starts_in(const std::string& domain) const
+{
+    const auto found = domain_starts_.find(domain);
+    return found == domain_starts_.end() ? 0 : found->second;
 }
 
 void fleet_simulation::stop(const std::string& name)
@@ -611,6 +648,10 @@
     if (cancelled && now_ - *cancelled > cancellation_limit)
         violation("start of " + order.task + " after its job was cancelled");
     ++starts_;
+    ++domain_starts_[worker.entry.domain];
+    const auto drained = drained_since_.find(worker.entry.domain);
+    if (drained != drained_since_.end() && now_ - drained->second > drain_limit)
+        violation("start of " + order.task + " in the drained domain " + worker.entry.domain);
     check_capacity(worker);
     schedule(now_ + plan.run_time,
              [this, id = worker.entry.id] { settle_worker(workers_.at(id)); });
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -38,6 +38,7 @@
         unsigned attempts = 0;
         std::vector<std::string> answers;    ///< one per answered attempt
         bool started = false;                ///< a task was started on a worker
+        duration retry_after{};              ///< of the last answer
         std::optional<time_point> cancelled; ///< when the cancellation was acknowledged
         time_point first{};
         time_point answered{};
@@ -64,6 +65,9 @@
     void freeze(const std::string& host, bool frozen);
     /// Cuts or restores the path between two hosts; a cut link drops messages silently.
     void cut(const std::string& a, const std::string& b, bool cut);
+    /// Cuts or restores the path from one host to another; the path back is not changed. As with
+    /// TCP, no link can be opened between them while one direction is cut.
+    void cut_direction(const std::string& from, const std::string& to, bool cut);
     /// Cuts or restores the path from a host to every worker.
     void cut_workers(const std::string& host, bool cut);
     /// Cuts or restores the path from a host to the workers of a domain.
@@ -75,6 +79,9 @@
     /// Adds the worker's entry to the store or removes it; the worker runs on.
     void list_worker(const std::string& worker, bool listed);
     void publish(std::uint64_t version);
+    /// An operator requests or removes the drain of a domain. A start in a drained domain is a
+    /// violation once the request is older than `drain_limit`.
+    void drain(const std::string& domain, bool drained);
     void stop(const std::string& host);
 
     fleet_host* host(const std::string& name);
@@ -93,6 +100,8 @@
     /// Descriptions of violated invariants.
     const std::vector<std::string>& violations() const { return violations_; }
     std::uint64_t starts() const { return starts_; }
+    /// Number of tasks that were started in the domain.
+    std::uint64_t starts_in(const std::string& domain) const;
     rng& random() { return random_; }
 
 private:
@@ -125,6 +134,8 @@
     void deliver_store_records(sim_host& host);
     void link_hosts();
     void unlink(const std::string& a, const std::string& b);
+    /// True if messages from one host do not arrive at the other.
+    bool path_cut(const std::string& from, const std::string& to) const;
     void start_on(sim_worker& worker, const start_order& order, order_reply& reply);
     void stop_on(sim_worker& worker, const stop_order& order, order_reply& reply);
     status_reply poll_status(sim_worker& worker, const status_request& order);
@@ -156,6 +167,10 @@
     std::uint64_t next_number_ = 0; ///< number of the next host record in the store
     std::uint64_t version_ = 1;
     std::uint64_t starts_ = 0;
+    std::map<std::string, std::uint64_t> domain_starts_;
+    std::uint64_t operator_offset_ = 1; ///< end of the operators' topic
+    std::map<std::string, time_point> drained_since_;
+    std::set<std::pair<std::string, std::string>> cut_directions_; ///< sender and receiver
     std::uint64_t config_records_ = 0;
     std::set<std::string> hosts_without_store_;
     std::set<std::string> unlisted_workers_;
