Stop sending jobs to an owner that no longer hears this host

Reports prove only one direction.

An owner in another domain expects nothing from a host that has no jobs there, and keeps its end of the link. TCP keep-alive on peer links is to close it; no run with lost packets has shown that. The simulation now replaces a link of which only one end is left, as link_hub does.

--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -1,6 +1,8 @@
 #include <daemon/peer_link.h>
 
 #include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <runtime/socket_poller.h>
 #include <utility>
 
@@ -12,6 +14,22 @@
 constexpr std::size_t max_queued_bytes = 8U << 20U;
 constexpr duration min_check_interval = milliseconds{50};
 constexpr duration max_check_interval = milliseconds{250};
+/// A host that expects no messages from the other end notices a loss of packets in one direction
+/// only through TCP: an idle connection is probed after this time and in this interval, and closed
+/// after this number of unanswered probes or this time without an acknowledgement.
+constexpr int keepalive_interval_s = 1;
+constexpr int max_unanswered_probes = 3;
+constexpr int unacknowledged_limit_ms = 4000;
+
+/// A connection without these options works, so that an error is ignored.
+void detect_dead_direction(GSocket* socket)
+{
+    g_socket_set_keepalive(socket, TRUE);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_interval_s, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, max_unanswered_probes, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms, nullptr);
+}
 
 } // namespace
 
@@ -40,6 +58,7 @@
 {
     read_buffer_.resize(read_bytes);
     g_socket_set_blocking(g_socket_connection_get_socket(connection_.get()), FALSE);
+    detect_dead_direction(g_socket_connection_get_socket(connection_.get()));
 }
 
 peer_link::~peer_link() = default;
--- a/modules/daemon/store_reader.h
+++ b/modules/daemon/store_reader.h
@@ -72,7 +72,7 @@
     metrics::registry& metrics_;
     rng random_;
     std::array<std::unique_ptr<followed_topic>, enum_count<fleet::store_topic>> topics_;
-    std::set<std::string> drained_domains_; ///< by the records that this host has read
+    std::set<std::string> drained_domains_;  ///< by the records that this host has read
     std::optional<std::string> read_config_; ///< not handed to the core yet
     std::set<std::string> unused_keys_;      ///< keys of the operators' topic that were logged
     runtime::timer read_timer_;
--- a/modules/daemon/tests/store_reader_test.cpp
+++ b/modules/daemon/tests/store_reader_test.cpp
@@ -64,8 +64,7 @@
         fleet::store_reply answer;
         answer.answered = true;
         answer.end = request.offset;
-        const bool scripted =
-            topic == fleet::store_topic::configuration && delivered < released;
+        const bool scripted = topic == fleet::store_topic::configuration && delivered < released;
         if (scripted)
             answer = replies_[delivered];
         ++open;
@@ -170,19 +169,20 @@
     recorded_peers peers;
     no_callers callers;
     metrics::registry metrics;
-    fleet::fleet_host core{{"a", "d", "10.0.0.1:1", 1, 250},
-                           {"d", "e"},
-                           workers,
-                           peers,
-                           callers,
-                           metrics,
-                           [](const std::string& text) -> result<fleet::cluster_config, std::string> {
-                               fleet::cluster_config config;
-                               config.version = 3;
-                               config.record = text;
-                               return config;
-                           },
-                           boot_clock::now()};
+    fleet::fleet_host core{
+        {"a", "d", "10.0.0.1:1", 1, 250},
+        {"d", "e"},
+        workers,
+        peers,
+        callers,
+        metrics,
+        [](const std::string& text) -> result<fleet::cluster_config, std::string> {
+            fleet::cluster_config config;
+            config.version = 3;
+            config.record = text;
+            return config;
+        },
+        boot_clock::now()};
     scripted_store store;
     store_reader reader;
 };
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -318,8 +318,10 @@
     directory_.message_received(host, now);
     if (const auto* order = std::get_if<wire::job_order>(&message))
         handle_order(host, *order, now);
-    else if (const auto* result = std::get_if<wire::job_result>(&message))
+    else if (const auto* result = std::get_if<wire::job_result>(&message)) {
+        directory_.answer_received(host, now);
         router_->result(host, *result, now);
+    }
     else if (const auto* ended = std::get_if<wire::job_cancel>(&message)) {
         if (ended->attempt == 0)
             apply_cancellation(ended->job, host, false, now);
@@ -345,6 +347,8 @@
     else if (const auto* records = std::get_if<wire::host_records>(&message)) {
         if (records->hosts.empty())
             send_host_list(host);
+        else
+            directory_.answer_received(host, now);
         for (const auto& one : records->hosts)
             host_listed(one, now);
     }
@@ -853,9 +857,17 @@
     directory_.set_requesters(requesters);
     directory_.set_owners_with_jobs(router_->owners_with_jobs(), now);
     std::vector<std::string> silent;
+    std::vector<std::string> to_probe;
     for (const auto& [name, host] : directory_.hosts()) {
-        if (directory_.silent(host, now))
+        if (directory_.silent(host, now) || directory_.unanswered(host, now))
             silent.push_back(name);
+        else if (directory_.probe_due(host, now))
+            to_probe.push_back(name);
+    }
+    // An empty list of hosts asks for a list, which every version sends at once.
+    for (const auto& name : to_probe) {
+        directory_.probe_sent(name, now);
+        peers_.send(name, wire::host_records{});
     }
     for (const auto& name : silent) {
         log_line{"host_silent"}.add("host", name).write();
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -56,6 +56,8 @@
     view.linked = true;
     view.link_changed = now;
     view.last_heard = now;
+    view.answered = now;
+    view.probed.reset();
 }
 
 void host_directory::unlinked(const std::string& host, time_point now)
@@ -85,6 +87,33 @@
         found->second.last_heard = now;
 }
 
+void host_directory::answer_received(const std::string& host, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found == hosts_.end())
+        return;
+    found->second.answered = now;
+    found->second.probed.reset();
+}
+
+bool host_directory::probe_due(const host_view& host, time_point now) const
+{
+    return host.linked && host.jobs_there_since && !host.probed &&
+           now - std::max(host.answered, *host.jobs_there_since) >= probe_delay;
+}
+
+void host_directory::probe_sent(const std::string& host, time_point now)
+{
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end())
+        found->second.probed = now;
+}
+
+bool host_directory::unanswered(const host_view& host, time_point now) const
+{
+    return host.linked && host.probed && now - *host.probed > probe_limit;
+}
+
 void host_directory::report_sent(const std::string& host, std::uint64_t worker_revision,
                                  time_point now)
 {
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -2,6 +2,7 @@
 
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/report_schedule.h>
 #include <fleet/types.h>
 #include <map>
 #include <optional>
@@ -22,6 +23,8 @@
     time_point last_report_sent{};              ///< when the last report was sent there
     bool has_jobs_here = false;                 ///< it waits for results of this host's shards
     std::optional<time_point> jobs_there_since; ///< since when this host has jobs at it
+    time_point answered{};                      ///< when it last answered a message from this host
+    std::optional<time_point> probed; ///< when an answer was requested that has not arrived yet
     std::optional<wire::host_report> report;
     time_point reported{};                             ///< when `report` arrived
     std::map<wire::shard, shared_worker_list> workers; ///< of the shards that it owns, if told
@@ -42,6 +45,12 @@
     /// A host that has had no link for this long is removed; the store lists it again if it comes
     /// back.
     static constexpr duration forget_after = seconds{60};
+    /// A host that has had jobs of this one and has answered nothing for this long is asked for an
+    /// answer.
+    static constexpr duration probe_delay = milliseconds{250};
+    /// An answer that takes longer than this proves that the host does not hear this one. It is
+    /// longer than a pause of this process that goes unnoticed.
+    static constexpr duration probe_limit = short_silence_limit;
 
     /// \param domain failure domain of this host
     explicit host_directory(std::string domain) : domain_{std::move(domain)} {}
@@ -77,6 +86,17 @@
     /// long.
     bool silent(const host_view& host, time_point now) const;
 
+    /// The host has answered a message from this one, so that the link carries both directions.
+    void answer_received(const std::string& host, time_point now);
+
+    /// True if the host should be asked for an answer: it has jobs of this host, and its reports
+    /// prove only that the link carries its own direction.
+    bool probe_due(const host_view& host, time_point now) const;
+    void probe_sent(const std::string& host, time_point now);
+
+    /// True if the host has not answered a probe in time.
+    bool unanswered(const host_view& host, time_point now) const;
+
     /// The host; null if it is not known.
     const host_view* find(const std::string& host) const;
 
--- a/modules/fleet/tests/domain_drain_test.cpp
+++ b/modules/fleet/tests/domain_drain_test.cpp
@@ -173,8 +173,8 @@
     expect_all_completed(simulation);
     std::uint64_t interrupted = 0;
     for (const auto& host : simulation.host_names())
-        interrupted += simulation.metrics(host).counter("chivewharf_job_ends_total",
-                                                        "end=\"interrupted\"");
+        interrupted +=
+            simulation.metrics(host).counter("chivewharf_job_ends_total", "end=\"interrupted\"");
     EXPECT_GT(interrupted, 0U);
 }
 
@@ -229,8 +229,8 @@
     EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
 }
 
-// Guards against a new owner that keeps to a drain which ended while the claim moved, or that starts
-// tasks under one which has not.
+// Guards against a new owner that keeps to a drain which ended while the claim moved, or that
+// starts tasks under one which has not.
 TEST(domain_drain, request_is_removed_while_the_claim_moves)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -384,11 +384,14 @@
     for (auto& [a, first] : hosts_) {
         for (auto& [b, second] : hosts_) {
             if (a >= b || !first->alive || !second->alive || first->frozen || second->frozen ||
-                first->linked.contains(b) || second->linked.contains(a) ||
-                path_cut(a, b) || path_cut(b, a))
+                (first->linked.contains(b) && second->linked.contains(a)) || path_cut(a, b) ||
+                path_cut(b, a))
                 continue;
-            first->linked.insert(b);
-            second->linked.insert(a);
+            // A new link replaces one that only this end still has.
+            if (!first->linked.insert(b).second)
+                first->core->peer_unlinked(b, now_);
+            if (!second->linked.insert(a).second)
+                second->core->peer_unlinked(a, now_);
             first->core->peer_linked(b, second->domain, second->incarnation, now_);
             second->core->peer_linked(a, first->domain, first->incarnation, now_);
         }
