--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -16,11 +16,13 @@
 #include <fleet/config_state.h>
 #include <fleet/decaying_sum.h>
 #include <fleet/demand_profile.h>
+#include <fleet/drain_state.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_queue.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
+#include <fleet/operator_key.h>
 #include <fleet/owner_choice.h>
 #include <fleet/owner_view.h>
 #include <fleet/placement.h>
--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 job_placer::job_placer(context shard, start_function start)
-    : shard_{shard}, start_{std::move(start)}
+    : shard_{std::move(shard)}, start_{std::move(start)}
 {
 }
 
@@ -86,7 +86,8 @@
             ++found;
         }
     }
-    if (found < tasks.size())
+    if (found < tasks.size() ||
+        !shard_.share_admits(demand.cpu_milli * static_cast<std::int64_t>(tasks.size())))
         return false;
     const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
                          return a.run < b.run;
@@ -126,7 +127,7 @@
 bool job_placer::place_task(job_run& job, task_position position, time_point objective,
                             time_point now)
 {
-    if (lingers(job, position))
+    if (lingers(job, position) || !shard_.share_admits(job.order.steps[position.step].cpu_milli))
         return false;
     auto* worker = choose_worker(job, position, objective, now);
     if (worker == nullptr)
@@ -189,7 +190,7 @@
     const auto demand = demand_of(job.order.steps[position->step]);
     // Resources that stay free for the job are lost to others, and a demand of about the usual size
     // finds room without a reservation.
-    if (demand.cpu_milli * 4 < shard_.profile.typical_demand() * 5)
+    if (demand.cpu_milli * 5 < shard_.profile.typical_demand() * 6)
         return;
     std::string best;
     auto earliest = start_by;
--- a/modules/fleet/job_placer.h
+++ b/modules/fleet/job_placer.h
@@ -29,6 +29,8 @@
         const demand_profile& profile;
         /// Worker by task, of tasks whose earlier run may not have ended.
         const std::map<std::string, std::string>& lingering_tasks;
+        /// True if tasks may take this much more processor time, in thousandths of a core.
+        std::function<bool(std::int64_t cpu_milli)> share_admits;
     };
     struct job_times {
         time_point objective{}; ///< time by which the job should complete
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -42,12 +42,13 @@
 
 shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
                          request_log& log, callbacks cb)
-    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log},
-      callbacks_{std::move(cb)}, placer_{{workers_, jobs_, model_, profile_, lingering_tasks_},
-                                         [this](job_run& job, task_position position,
-                                                managed_worker& worker, time_point now) {
-                                             order_start(job, position, worker, now);
-                                         }}
+    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log}, callbacks_{std::move(
+                                                                               cb)},
+      placer_{{workers_, jobs_, model_, profile_, lingering_tasks_,
+               [this](std::int64_t cpu_milli) { return share_admits(cpu_milli); }},
+              [this](job_run& job, task_position position, managed_worker& worker, time_point now) {
+                  order_start(job, position, worker, now);
+              }}
 {
 }
 
@@ -178,6 +179,7 @@
         if (worker.accepts_tasks())
             usable.add(worker.session->entry().capacity, worker.session->free());
     }
+    usable.limit(usable_share_);
     return usable;
 }
 
@@ -234,6 +236,28 @@
     return room;
 }
 
+bool shard_owner::share_admits(std::int64_t cpu_milli) const
+{
+    if (usable_share_ >= 1)
+        return true;
+    const auto workers = usable();
+    const auto needed = workers.used_milli() + static_cast<std::uint64_t>(cpu_milli);
+    return !drained() && (workers.used_milli() == 0 || needed <= workers.capacity_milli());
+}
+
+void shard_owner::set_usable_share(double share, time_point now)
+{
+    if (usable_share_ == share)
+        return;
+    usable_share_ = share;
+    if (drained()) {
+        give_back_unstarted(wire::job_end::overloaded, now);
+        end_idle_jobs(now);
+        return;
+    }
+    schedule(now);
+}
+
 bool shard_owner::takeover_complete() const
 {
     return token_ != 0 && !suspended_ && !workers_.empty() &&
@@ -349,12 +373,15 @@
                 .add("waiting", std::uint64_t{queue_.size()})
                 .add("free_milli", free_milli())
                 .add("usable_workers", std::uint64_t{usable_workers()})
+                .add("drained", drained() ? "true" : "false")
                 .write();
         callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
                           now);
     };
     if (leaving_ || suspended_ || token_ == 0)
         return refuse(wire::job_end::not_owner);
+    if (drained())
+        return refuse(wire::job_end::overloaded);
     if (!satisfiable(order))
         return refuse(wire::job_end::impossible);
     auto job = std::make_unique<job_run>(std::move(order), requester, now);
@@ -457,7 +484,7 @@
     // After a pause of the process, its requesters may have sent their jobs elsewhere. The next
     // tick finds out before anything is started.
     const bool paused = last_tick_ != time_point{} && now - last_tick_ > max_pause;
-    if (scheduling_ || leaving_ || suspended_ || paused)
+    if (scheduling_ || leaving_ || suspended_ || paused || drained())
         return;
     scheduling_ = true;
     placer_.begin_pass();
@@ -770,23 +797,28 @@
         hosts.insert(job->requester);
 }
 
-void shard_owner::leave(time_point now)
+void shard_owner::give_back_unstarted(wire::job_end end, time_point now)
 {
-    leaving_ = true;
     std::vector<std::string> never_started;
     for (const auto& [id, job] : jobs_) {
         if (!job->started)
             never_started.push_back(id);
     }
     for (const auto& id : never_started)
-        finish(id, wire::job_end::not_owner, now);
+        finish(id, end, now);
+}
+
+void shard_owner::leave(time_point now)
+{
+    leaving_ = true;
+    give_back_unstarted(wire::job_end::not_owner, now);
     release_idle_workers(now);
 }
 
-void shard_owner::release_idle_workers(time_point now)
+void shard_owner::end_idle_jobs(time_point now)
 {
-    // A leaving owner starts no tasks, so jobs without active tasks cannot be completed here. The
-    // requester sends them to another owner.
+    // A leaving or drained owner starts no tasks, so jobs without active tasks cannot be completed
+    // here. The requester sends them to another owner.
     std::vector<std::string> stuck;
     for (const auto& [id, job] : jobs_) {
         if (!job->any_active())
@@ -794,6 +826,11 @@
     }
     for (const auto& id : stuck)
         finish(id, wire::job_end::interrupted, now);
+}
+
+void shard_owner::release_idle_workers(time_point now)
+{
+    end_idle_jobs(now);
     for (auto& [id, worker] : workers_) {
         if (worker.released || !worker.session->tasks().empty())
             continue;
@@ -883,6 +920,8 @@
         worker.session->tick(now);
     log_takeover();
     check_deadlines(now);
+    if (drained())
+        end_idle_jobs(now);
     if (leaving_) {
         release_idle_workers(now);
         return;
--- a/modules/fleet/usable_capacity.cpp
+++ b/modules/fleet/usable_capacity.cpp
@@ -35,11 +35,23 @@
     used_milli_ += not_negative(capacity.cpu_milli - free.cpu_milli);
 }
 
+void usable_capacity::limit(double share)
+{
+    if (share >= 1)
+        return;
+    limited_ = true;
+    capacity_milli_ =
+        static_cast<std::uint64_t>(static_cast<double>(capacity_milli_) * std::max(share, 0.0));
+    free_milli_ = std::min(free_milli_, capacity_milli_ - std::min(capacity_milli_, used_milli_));
+}
+
 std::uint64_t usable_capacity::startable_tasks(const resources& demand) const
 {
     std::uint64_t tasks = 0;
     for (const auto& worker : workers_)
         tasks += fitting_tasks(worker.free, demand);
+    if (limited_ && demand.cpu_milli > 0)
+        return std::min(tasks, free_milli_ / static_cast<std::uint64_t>(demand.cpu_milli));
     return tasks;
 }
 
--- a/modules/fleet/usable_capacity.h
+++ b/modules/fleet/usable_capacity.h
@@ -17,6 +17,9 @@
     /// \param free what no task occupies
     void add(const resources& capacity, const resources& free);
 
+    /// Limits the use of the workers that were added to a part of their processor time.
+    void limit(double share);
+
     std::size_t workers() const noexcept { return workers_.size(); }
 
     /// Processor time of the workers, thousandths of a core.
@@ -41,6 +44,7 @@
     std::uint64_t capacity_milli_ = 0;
     std::uint64_t free_milli_ = 0;
     std::uint64_t used_milli_ = 0;
+    bool limited_ = false;
 };
 
 } // namespace chivewharf::fleet
