--- a/modules/settings/fleet_settings.cpp
+++ b/modules/settings/fleet_settings.cpp
@@ -22,6 +22,7 @@
     {"store", &fleet::store, true, port_rule},
     {"core_share", &fleet::core_share, false, value_rule{0, 1}},
     {"cores", &fleet::cores, false, value_rule{0, 4096}},
+    {"memory_mb", &fleet::memory_mb, false, value_rule{0, 1 << 20}},
     {"metrics_port", &fleet::metrics_port, false, value_rule{0, 65535}},
     {"drain_ms", &fleet::drain_ms, false, value_rule{0, 600'000}},
 };
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -23,6 +23,7 @@
     std::vector<std::string> seeds; ///< peer addresses of some hosts; may be empty or outdated
     double core_share = 1;          ///< fraction of each core that this host may use
     double cores = 1;
+    std::int64_t memory_mb = 0;    ///< memory of the process; 0 if it is not known
     std::int64_t metrics_port = 0; ///< 0 disables the metrics server
     std::int64_t drain_ms = 5600;  ///< maximum time to complete open requests at a planned stop
 
