Limit the memory and the heads of clients' requests

Cause: libsoup keeps some 85 bytes for each header line and more for each chunk, so requests of legal size take many times their bytes. 300 clients took an entry host to 108 MB, where its settings give 64.

Change: request_scanner follows heads, bodies and chunks before libsoup and reports the first violation (431, 400). request_budget estimates the memory of all connections of a server against a quarter of memory_mb; the largest and newest requests that were not handed on are refused (503, not run). max_header_bytes and idle_timeout_ms of the configuration are enforced, and limits apply before the first complete request. Limits have statuses and a counter of their own. Reasons are appended, because hosts exchange them as numbers; base_test names the new last one.

--- a/apps/chivewharfd/platform_program.cpp
+++ b/apps/chivewharfd/platform_program.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 /// Environment variable in which the platform gives the path of the settings file.
 constexpr const char* settings_variable = "CHIVEWHARF_BOOT";
 
@@ -27,8 +28,9 @@
     daemon::fleet_adapters adapters;
     adapters.workers = std::make_unique<platform::worker_client>();
     adapters.store = std::make_unique<platform::store_client>(to_text(settings.store));
-    adapters.callers = std::make_unique<platform::job_front>(to_text(settings.callers),
-                                                             to_text(settings.readiness));
+    adapters.callers = std::make_unique<platform::job_front>(
+        to_text(settings.callers), to_text(settings.readiness),
+        static_cast<std::size_t>(settings.memory_mb) * bytes_per_mb);
     adapters.records = {platform::decode_worker, platform::decode_host};
     adapters.config = platform::decode_config;
     return adapters;
--- a/modules/base/reason.h
+++ b/modules/base/reason.h
@@ -59,11 +59,16 @@
     service_removed,
     shutdown,
     internal,
+    // Hosts exchange reasons as numbers, so new ones are added at the end.
+    header_too_large,
+    ambiguous_length,
+    idle_timeout,
+    request_memory,
 };
 
 template <>
 struct enum_names<reason> {
-    static constexpr std::array<std::string_view, 41> names{
+    static constexpr std::array<std::string_view, 45> names{
         "none",
         "malformed_request",
         "unknown_route",
@@ -105,6 +110,10 @@
         "service_removed",
         "shutdown",
         "internal",
+        "header_too_large",
+        "ambiguous_length",
+        "idle_timeout",
+        "request_memory",
     };
 };
 
--- a/modules/base/tests/base_test.cpp
+++ b/modules/base/tests/base_test.cpp
@@ -11,7 +11,7 @@
     EXPECT_EQ(to_name(reason::none), "none");
     EXPECT_EQ(to_name(reason::owner_gone), "owner_gone");
     EXPECT_EQ(to_name(reason::internal), "internal");
-    EXPECT_EQ(static_cast<std::size_t>(reason::internal) + 1, enum_count<reason>);
+    EXPECT_EQ(static_cast<std::size_t>(reason::request_memory) + 1, enum_count<reason>);
     for (const auto name : enum_names<reason>::names)
         EXPECT_EQ(to_name(*from_name<reason>(name)), name);
     EXPECT_FALSE(from_name<reason>("no_such_reason"));
--- a/modules/daemon/caller_front.h
+++ b/modules/daemon/caller_front.h
@@ -2,6 +2,7 @@
 
 #include <fleet/fleet_host.h>
 #include <fleet/ports.h>
+#include <metrics/registry.h>
 #include <runtime/supervisor.h>
 
 namespace chivewharf::daemon {
@@ -10,8 +11,8 @@
 /// The module `platform` implements it.
 class caller_front : public runtime::supervised, public fleet::caller_port {
 public:
-    /// Sets the core. Call it once, before `start`.
-    virtual void attach(fleet::fleet_host& core) = 0;
+    /// Sets the core and the metrics. Call it once, before `start`.
+    virtual void attach(fleet::fleet_host& core, metrics::registry& metrics) = 0;
 
     /// Begins the planned stop: reports not ready to the load balancer, and closes each connection
     /// with its next response.
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -43,7 +43,7 @@
         adapters_.config, boot_clock::now());
     store_ = std::make_unique<store_reader>(*core_, *adapters_.store, adapters_.records, metrics_,
                                             random_seed());
-    adapters_.callers->attach(*core_);
+    adapters_.callers->attach(*core_, metrics_);
     connect_links();
     main_.on_reload([this] { on_reload_signal(); });
     root_.add(*links_);
@@ -100,11 +100,12 @@
     if (settings_.metrics_port == 0)
         return true;
     metrics_server_ = std::make_unique<runtime::http_server>(
-        runtime::http_limits{},
+        runtime::http_limits::for_probes(),
         [this](const std::shared_ptr<runtime::http_exchange>& exchange) {
             exchange->respond({200, metrics_text(), "text/plain; version=0.0.4", {}});
         },
-        [](reason) {
+        [this](reason why) {
+            metrics_.reasons(runtime::request_limits_metric).add(why);
             return runtime::http_response{503, {}, "text/plain", {}};
         });
     auto address = settings_.callers;
--- a/modules/dispatch/caller_answer.cpp
+++ b/modules/dispatch/caller_answer.cpp
@@ -31,6 +31,9 @@
         return 429;
     case reason::internal:
         return 500;
+    case reason::header_too_large:
+        return 431;
+    case reason::ambiguous_length:
     case reason::malformed_request:
     case reason::missing_id:
     case reason::invalid_id:
--- a/modules/fleet/cluster_config.h
+++ b/modules/fleet/cluster_config.h
@@ -26,7 +26,9 @@
 /// Limits on callers' requests.
 struct caller_limits {
     std::size_t max_body_bytes = std::size_t{256} * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
     duration request_timeout = seconds{3}; ///< from a request's first byte to its last
+    duration idle_timeout = seconds{15};   ///< between two requests of a connection
 };
 
 /// One version of the operators' configuration.
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <deque>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -37,8 +38,12 @@
 
 std::string raw_response(const http_response& response)
 {
+    std::string fields;
+    for (const auto& field : response.headers)
+        fields += field.name + ": " + field.value + "\r\n";
     return "HTTP/1.1 " + std::to_string(response.status) + ' ' +
-           soup_status_get_phrase(response.status) + "\r\nContent-Type: " + response.content_type +
+           soup_status_get_phrase(response.status) + "\r\n" + fields +
+           "Content-Type: " + response.content_type +
            "\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size()) +
            "\r\n\r\n" + response.body;
 }
@@ -52,6 +57,18 @@
 
 } // namespace
 
+http_limits http_limits::for_probes()
+{
+    constexpr std::size_t max_probe_bytes = 4096;
+    constexpr std::size_t max_probe_connections = 100;
+    constexpr std::size_t max_probe_lines = 64;
+    return {max_probe_bytes,
+            max_probe_connections,
+            seconds{3},
+            {max_probe_bytes, max_probe_lines},
+            seconds{15}};
+}
+
 /// State of an open connection. Freed when libsoup releases the stream.
 struct http_server::connection {
     http_server* server;
@@ -59,12 +76,19 @@
     std::shared_ptr<receive_state> state = std::make_shared<receive_state>();
     std::weak_ptr<http_exchange> exchange{}; ///< the one that awaits its response
     std::optional<time_point> receiving_since{};
+    std::optional<time_point> unused_since{};
     bool in_handler = false;
+    bool body_refused = false; ///< a response is sent while the rest of the body is discarded
+    std::uint64_t number = 0;  ///< in the budget
+    request_scanner scanner{};
+    /// Estimated memory of requests that have arrived and are not answered, the oldest first. Those
+    /// behind the first are in the read buffer.
+    std::deque<std::size_t> complete{};
 };
 
-http_server::http_server(http_limits limits, handler handle, refusal refuse)
+http_server::http_server(http_limits limits, handler handle, refusal refuse, std::size_t budget)
     : limits_{limits}, handler_{std::move(handle)}, refuse_{std::move(refuse)},
-      server_{soup_server_new("server-header", "chivewharf", nullptr)}
+      server_{soup_server_new("server-header", "chivewharf", nullptr)}, budget_{budget}
 {
     soup_server_add_early_handler(server_.get(), nullptr, &http_server::on_headers_read, this,
                                   nullptr);
@@ -149,6 +173,12 @@
         g_socket_connection_factory_create_connection(socket.get())};
     auto* record = new connection{this, std::move(socket)};
     connections_.insert(record);
+    record->number = budget_.open();
+    by_number_.emplace(record->number, record);
+    record->state->on_bytes = [record](std::string_view bytes) {
+        if (record->server != nullptr)
+            record->server->on_bytes(*record, bytes);
+    };
     // Every message of the connection refers to this address object, so find() can get from a
     // message to its record.
     g_object_set_data(G_OBJECT(remote.get()), connection_key, record);
@@ -167,8 +197,53 @@
 void http_server::connection_closed(gpointer record, GObject* /*stream*/)
 {
     const std::unique_ptr<connection> closed{static_cast<connection*>(record)};
-    if (closed->server != nullptr)
-        closed->server->connections_.erase(closed.get());
+    // The stream may outlive the record.
+    closed->state->on_bytes = nullptr;
+    if (closed->server == nullptr)
+        return;
+    closed->server->connections_.erase(closed.get());
+    closed->server->by_number_.erase(closed->number);
+    closed->server->budget_.close(closed->number);
+}
+
+void http_server::on_bytes(connection& conn, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        bytes.remove_prefix(conn.scanner.scan(bytes, limits_.head));
+        if (conn.scanner.violation() != reason::none)
+            return refuse_request(conn, conn.scanner.violation());
+        if (conn.scanner.at_end())
+            conn.complete.push_back(request_budget::cost(conn.scanner.size()));
+    }
+    update_charge(conn);
+    enforce_budget(conn);
+}
+
+void http_server::update_charge(connection& conn)
+{
+    std::size_t bytes = conn.scanner.receiving() ? request_budget::cost(conn.scanner.size()) : 0;
+    for (const auto one : conn.complete)
+        bytes += one;
+    budget_.charge(conn.number, bytes, !conn.in_handler && !conn.body_refused);
+}
+
+void http_server::enforce_budget(const connection& current)
+{
+    while (const auto victim = budget_.victim(current.number))
+        refuse_request(*by_number_.at(victim), reason::request_memory);
+}
+
+void http_server::refuse_request(connection& conn, reason why)
+{
+    conn.state->refused = true;
+    conn.receiving_since.reset();
+    budget_.refuse(conn.number);
+    const auto response = refuse_(why);
+    const bool expects_response = why != reason::idle_timeout && !conn.in_handler;
+    if (expects_response && !certificate_)
+        write_raw(conn.socket.get(), response);
+    // libsoup then reads the end of the stream and closes the connection.
+    g_socket_shutdown(conn.socket.get(), TRUE, TRUE, nullptr);
 }
 
 void http_server::refuse_connection(GSocket* socket)
@@ -203,6 +278,8 @@
 void http_server::refuse_body(SoupServerMessage* message)
 {
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    if (auto* conn = find(message))
+        conn->body_refused = true;
     const auto response = refuse_(reason::body_too_large);
     soup_server_message_set_status(message, response.status, nullptr);
     soup_server_message_set_response(message, response.content_type.c_str(), SOUP_MEMORY_COPY,
@@ -223,8 +300,11 @@
 void http_server::request_read(SoupServer* /*server*/, SoupServerMessage* message,
                                gpointer /*self*/)
 {
-    if (auto* conn = find(message))
-        conn->in_handler = true;
+    auto* conn = find(message);
+    if (conn == nullptr)
+        return;
+    conn->in_handler = true;
+    conn->server->update_charge(*conn);
 }
 
 void http_server::request_finished(SoupServer* /*server*/, SoupServerMessage* message,
@@ -236,6 +316,11 @@
     conn->in_handler = false;
     conn->state->receiving = false;
     conn->receiving_since.reset();
+    conn->body_refused = false;
+    if (!conn->complete.empty())
+        conn->complete.pop_front();
+    if (conn->server != nullptr)
+        conn->server->update_charge(*conn);
 }
 
 std::size_t http_server::busy_connections() const
@@ -252,6 +337,11 @@
         return;
     const auto exchange = http_exchange::start(message, path, query);
     auto* conn = find(message);
+    // A request that was refused as not run must not reach the handler.
+    if (conn != nullptr && conn->state->refused) {
+        exchange->handle_disconnect();
+        return;
+    }
     if (conn != nullptr)
         conn->exchange = exchange;
     // If the process was suspended after the request arrived, the caller may have disconnected in
@@ -280,9 +370,14 @@
 {
     const auto now = boot_clock::now();
     std::vector<connection*> slow;
+    std::vector<connection*> unused;
     std::vector<std::shared_ptr<http_exchange>> disconnected;
     for (auto* conn : connections_) {
-        if (conn->in_handler) {
+        if (conn->state->refused)
+            continue;
+        if (exceeds_idle_timeout(*conn, now))
+            unused.push_back(conn);
+        else if (conn->in_handler) {
             if (auto waiting = conn->exchange.lock();
                 waiting && !waiting->answered() && closed_by_peer(conn->socket.get()))
                 disconnected.push_back(std::move(waiting));
@@ -299,14 +394,23 @@
     }
     for (const auto& exchange : disconnected)
         exchange->handle_disconnect();
-    for (auto* conn : slow) {
-        conn->receiving_since.reset();
-        const auto response = refuse_(reason::header_timeout);
-        if (!certificate_)
-            write_raw(conn->socket.get(), response);
-        // libsoup then reads the end of the stream and closes the connection.
-        g_socket_shutdown(conn->socket.get(), TRUE, TRUE, nullptr);
+    for (auto* conn : slow)
+        refuse_request(*conn, reason::header_timeout);
+    for (auto* conn : unused)
+        refuse_request(*conn, reason::idle_timeout);
+}
+
+bool http_server::exceeds_idle_timeout(connection& conn, time_point now) const
+{
+    const auto waiting = conn.exchange.lock();
+    const bool awaits_response = conn.in_handler && waiting && !waiting->answered();
+    if (awaits_response || (conn.state->receiving && !conn.in_handler)) {
+        conn.unused_since.reset();
+        return false;
     }
+    if (!conn.unused_since)
+        conn.unused_since = now;
+    return limits_.idle_timeout > duration{} && now - *conn.unused_since > limits_.idle_timeout;
 }
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <runtime/gobject_ptr.h>
 #include <runtime/http_exchange.h>
+#include <runtime/request_budget.h>
 #include <runtime/runtime_error.h>
 #include <runtime/socket_address.h>
 #include <runtime/timer.h>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace chivewharf::runtime {
@@ -22,8 +24,18 @@
     std::size_t max_connections = 2000;
     /// Maximum time from the first byte of a request to its last.
     duration request_timeout = seconds{5};
+    scan_limits head{};
+    /// Maximum time without a request, and maximum time in which a caller takes a response; 0 for
+    /// no limit.
+    duration idle_timeout{};
+
+    /// Limits of an address that only answers probes and metrics, whose requests are small.
+    static http_limits for_probes();
 };
 
+/// Name of the counters of requests and connections that exceeded a limit, by reason.
+inline constexpr const char* request_limits_metric = "chivewharf_request_limits_total";
+
 /// PEM files of the certificate and the private key. Empty paths disable TLS.
 struct tls_files {
     std::string certificate;
@@ -36,10 +48,12 @@
 class http_server {
 public:
     using handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
-    /// Returns the response to a request or a connection that exceeds a limit.
+    /// Returns the response to a request or a connection that exceeds a limit. Called once for
+    /// each; the response to an idle connection is not sent.
     using refusal = std::function<http_response(reason)>;
 
-    http_server(http_limits limits, handler handle, refusal refuse);
+    /// \param budget bytes that all requests and connections may take; 0 for no limit
+    http_server(http_limits limits, handler handle, refusal refuse, std::size_t budget = 0);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
@@ -76,10 +90,22 @@
     static void request_finished(SoupServer* server, SoupServerMessage* message, gpointer self);
     static void connection_closed(gpointer record, GObject* where);
 
+    /// Scans bytes that a connection has received, and refuses requests that exceed a limit.
+    void on_bytes(connection& conn, std::string_view bytes);
+    void update_charge(connection& conn);
+    /// Refuses the largest requests until the rest fits the budget.
+    void enforce_budget(const connection& current);
+    /// Sends the response for the reason, if any request is being received, and ends the
+    /// connection.
+    void refuse_request(connection& conn, reason why);
+    /// True if the caller has not used the connection, or not read its response, for too long.
+    bool exceeds_idle_timeout(connection& conn, time_point now) const;
+
     void accept(gobject_ptr<GSocket> socket);
     void refuse_connection(GSocket* socket);
     void refuse_body(SoupServerMessage* message);
-    /// Ends exchanges whose caller has disconnected and requests that exceed `request_timeout`.
+    /// Ends exchanges whose caller has disconnected, requests that exceed `request_timeout` and
+    /// connections that exceed `idle_timeout`.
     void sweep();
     /// Connection of a message; null if it is unknown.
     static connection* find(SoupServerMessage* message);
@@ -92,6 +118,8 @@
     gobject_ptr<GTlsCertificate> certificate_;
     GSource* accept_source_ = nullptr;
     std::unordered_set<connection*> connections_;
+    request_budget budget_;
+    std::unordered_map<std::uint64_t, connection*> by_number_; ///< by number in the budget
     timer sweep_timer_;
 };
 
--- a/modules/runtime/request_stream.cpp
+++ b/modules/runtime/request_stream.cpp
@@ -35,8 +35,14 @@
 gssize adapt_read_result(request_stream::fields& content, gssize size, void* buffer, GError** error)
 {
     if (size > 0) {
-        content.state->receiving = true;
-        return size;
+        auto& state = *content.state;
+        if (!state.refused && state.on_bytes)
+            state.on_bytes({static_cast<const char*>(buffer), static_cast<std::size_t>(size)});
+        if (!state.refused) {
+            state.receiving = true;
+            return size;
+        }
+        size = 0;
     }
     const bool would_block = size < 0 && error != nullptr &&
                              g_error_matches(*error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
--- a/modules/runtime/request_stream.h
+++ b/modules/runtime/request_stream.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <gio/gio.h>
 #include <memory>
 #include <runtime/gobject_ptr.h>
+#include <string_view>
 
 namespace chivewharf::runtime {
 
@@ -10,12 +12,19 @@
 struct receive_state {
     /// Set by the stream at the first byte of a request; cleared by the server at its end.
     bool receiving = false;
+    /// Set by the server when it has refused a request and ends the connection: the stream reports
+    /// its end from then on.
+    bool refused = false;
+    /// Called with the bytes of each read before libsoup gets them. The bytes are dropped if it
+    /// sets `refused`.
+    std::function<void(std::string_view)> on_bytes;
 };
 
 /// Wraps the input stream of a server connection for libsoup. If the input ends between two
 /// requests, libsoup 3.2 never closes the connection; if it ends within a request, libsoup does.
 /// The stream therefore inserts one byte, which libsoup takes for the start of a request, before an
-/// end of stream or an error between requests. It also records in `state` when a request begins.
+/// end of stream or an error between requests. It also records in `state` when a request begins,
+/// and shows each read to the server, which may refuse the request.
 /// Closing the stream closes the connection.
 gobject_ptr<GInputStream> make_request_stream(GIOStream* connection,
                                               std::shared_ptr<receive_state> state);
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "loop.h"
 #include "raw_socket.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <runtime/http_server.h>
 
@@ -34,7 +35,8 @@
             },
             [](reason cause) {
                 return http_response{503, std::string{to_name(cause)}, "text/plain", {}};
-            });
+            },
+            budget_);
         port_ = *server_->listen("127.0.0.1:0", tls);
     }
 
@@ -59,6 +61,7 @@
     std::unique_ptr<http_server> server_;
     std::vector<std::shared_ptr<http_exchange>> open_;
     bool keep_open_ = false;
+    std::size_t budget_ = 0;
     int handled_ = 0;
     int disconnects_ = 0;
     std::uint16_t port_ = 0;
@@ -163,6 +166,79 @@
     EXPECT_TRUE(run_until([&idle] { return idle.ended; })) << "half of a later request";
 }
 
+// Guards against callers that hold a connection without using it, or that never read a response.
+TEST_F(http_server_test, closes_unused_connections)
+{
+    http_limits limits;
+    limits.idle_timeout = milliseconds{1};
+    start(limits);
+    raw_socket unused{port_};
+    EXPECT_TRUE(run_until([&unused] { return unused.ended; }));
+    EXPECT_EQ(unused.received, "");
+    keep_open_ = true;
+    raw_socket waiting{port_};
+    waiting.send(get);
+    ASSERT_TRUE(run_until([this] { return open_.size() == 1; }));
+    raw_socket later{port_};
+    EXPECT_TRUE(run_until([&later] { return later.ended; }));
+    EXPECT_FALSE(waiting.ended) << "a caller that waits for its response does not count as idle";
+}
+
+// Guards against heads that are refused only after libsoup has stored them.
+TEST_F(http_server_test, refuses_a_head_that_is_too_large)
+{
+    http_limits limits;
+    limits.head.max_head_bytes = 1000;
+    start(limits);
+    raw_socket endless{port_};
+    endless.send("GET /" + std::string(1000, 'a'));
+    EXPECT_TRUE(receives(endless, "header_too_large")) << endless.received;
+    EXPECT_TRUE(run_until([&endless] { return endless.ended; }));
+    raw_socket smuggled{port_};
+    smuggled.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n");
+    EXPECT_TRUE(receives(smuggled, "ambiguous_length")) << smuggled.received;
+    EXPECT_EQ(handled_, 0);
+    expect_still_serving();
+}
+
+// Guards against running out of memory by many incomplete requests. The largest are refused, a
+// small one and one that is being handled are not, and the memory is available again afterwards.
+TEST_F(http_server_test, refuses_large_requests_when_the_budget_is_used_up)
+{
+    budget_ = std::size_t{600} * 1024;
+    start({});
+    keep_open_ = true;
+    raw_socket waiting{port_};
+    waiting.send(get);
+    ASSERT_TRUE(run_until([this] { return open_.size() == 1; }));
+    std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n";
+    for (int i = 0; i < 3000; ++i)
+        head += "a:\r\n";
+    std::vector<std::unique_ptr<raw_socket>> crowd;
+    const auto ended = [&crowd] {
+        return std::count_if(crowd.begin(), crowd.end(),
+                             [](const auto& one) { return one->ended; });
+    };
+    for (int i = 0; i < 10; ++i) {
+        crowd.push_back(std::make_unique<raw_socket>(port_));
+        crowd.back()->send(head + "\r\nhalf");
+    }
+    EXPECT_TRUE(run_until([&ended] { return ended() == 9; })) << ended();
+    EXPECT_FALSE(waiting.ended);
+    open_.front()->respond({200, "late", "text/plain", {}});
+    EXPECT_TRUE(receives(waiting, "late"));
+    keep_open_ = false;
+    raw_socket small{port_};
+    small.send(post("small"));
+    EXPECT_TRUE(receives(small, "<small>"));
+    crowd.clear();
+    ASSERT_TRUE(run_until([this] { return server_->open_connections() <= 2; }));
+    raw_socket single{port_};
+    single.send(head + "\r\nnine byte");
+    EXPECT_TRUE(receives(single, "<nine byte>"));
+}
+
 // Guards against malformed requests that reach the handler.
 TEST_F(http_server_test, refuses_malformed_requests)
 {
