Refuse the request being read before older ones of the same size

Refusing the largest first refused all ten clients of the unit test, of which one fits, because memory of refused requests was still held when the next one grew.

--- a/modules/runtime/request_budget.cpp
+++ b/modules/runtime/request_budget.cpp
@@ -2,13 +2,6 @@
 
 namespace chivewharf::runtime {
 
-namespace {
-
-/// The budget may be exceeded by this part of it while memory of refused requests is being freed.
-constexpr std::size_t max_unfreed_share = 4;
-
-} // namespace
-
 std::size_t request_budget::cost(const request_size& size)
 {
     return request_cost + size.head_bytes + size.lines * line_cost + size.body_bytes * body_factor +
@@ -58,8 +51,7 @@
         return 0;
     const auto reading = connections_.find(current);
     const auto mean = used_ / connections_.size();
-    if (used_ - limit_ > limit_ / max_unfreed_share && reading != connections_.end() &&
-        reading->second.refusable && reading->second.bytes >= mean)
+    if (reading != connections_.end() && reading->second.refusable && reading->second.bytes >= mean)
         return current;
     return used_ - refused_ > limit_ ? largest() : 0;
 }
