Charge pipelined requests in the read buffer by their bytes

Each was charged as parsed, so that 100 pipelining clients exceeded the budget and lost their connections; only the oldest is parsed.

--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -81,9 +81,9 @@
     bool body_refused = false; ///< a response is sent while the rest of the body is discarded
     std::uint64_t number = 0;  ///< in the budget
     request_scanner scanner{};
-    /// Estimated memory of requests that have arrived and are not answered, the oldest first. Those
-    /// behind the first are in the read buffer.
-    std::deque<std::size_t> complete{};
+    /// Requests that have arrived and are not answered, the oldest first. Those behind the first
+    /// are still bytes in the read buffer.
+    std::deque<request_size> complete{};
 };
 
 http_server::http_server(http_limits limits, handler handle, refusal refuse, std::size_t budget)
@@ -213,7 +213,7 @@
         if (conn.scanner.violation() != reason::none)
             return refuse_request(conn, conn.scanner.violation());
         if (conn.scanner.at_end())
-            conn.complete.push_back(request_budget::cost(conn.scanner.size()));
+            conn.complete.push_back(conn.scanner.size());
     }
     update_charge(conn);
     enforce_budget(conn);
@@ -221,9 +221,16 @@
 
 void http_server::update_charge(connection& conn)
 {
-    std::size_t bytes = conn.scanner.receiving() ? request_budget::cost(conn.scanner.size()) : 0;
-    for (const auto one : conn.complete)
-        bytes += one;
+    std::size_t bytes = 0;
+    bool first = true;
+    const auto add = [&](const request_size& size) {
+        bytes += first ? request_budget::cost(size) : size.head_bytes + size.body_bytes;
+        first = false;
+    };
+    for (const auto& one : conn.complete)
+        add(one);
+    if (conn.scanner.receiving())
+        add(conn.scanner.size());
     budget_.charge(conn.number, bytes, !conn.in_handler && !conn.body_refused);
 }
 
--- a/modules/runtime/request_budget.h
+++ b/modules/runtime/request_budget.h
@@ -45,11 +45,12 @@
     /// Estimated memory of all connections in bytes.
     std::size_t used() const noexcept { return used_; }
 
-    /// Connection to refuse so that the rest fits the budget: the one with the largest requests,
-    /// the newest of several. Since it is the largest, requests below the mean size are refused
-    /// last. If much memory of refused requests is not freed yet, the connection that is being read
-    /// is chosen instead, unless it is below the mean: it frees its memory at once. \param current
-    /// connection that is being read \return 0 if none needs to be refused or can be
+    /// Connection to refuse while the budget is exceeded: the one that is being read, unless its
+    /// requests are below the mean size, because its memory is freed at once; otherwise the one
+    /// with the largest requests, the newest of several. Memory of refused requests is taken as
+    /// free for a request below the mean.
+    ///
+    /// Returns 0 if none needs to be refused or can be.
     std::uint64_t victim(std::uint64_t current) const;
 
 private:
--- a/modules/settings/tests/settings_test.cpp
+++ b/modules/settings/tests/settings_test.cpp
@@ -317,5 +317,29 @@
     }
 }
 
+// Guards against a budget for requests that is derived from a memory size out of range.
+TEST(fleet_settings, memory_is_validated)
+{
+    const auto parse = [](const json& memory) {
+        return parse_fleet(make_document({{"host", "h"},
+                                          {"domain", "d"},
+                                          {"domains", {"d"}},
+                                          {"callers", "127.0.0.1:1"},
+                                          {"readiness", "127.0.0.1:2"},
+                                          {"peers", "127.0.0.1:3"},
+                                          {"store", "127.0.0.1:4"},
+                                          {"memory_mb", memory}},
+                                         "h"));
+    };
+    const auto parsed = parse(120);
+    ASSERT_TRUE(parsed) << to_text(parsed.error());
+    EXPECT_EQ(parsed->memory_mb, 120);
+    for (const auto& wrong : {json(-1), json("120"), json(1 << 21)}) {
+        const auto refused = parse(wrong);
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().size(), 1U);
+    }
+}
+
 } // namespace
 } // namespace chivewharf::settings
