--- a/modules/runtime/request_budget.h
+++ b/modules/runtime/request_budget.h
@@ -13,9 +13,9 @@
 class request_budget {
 public:
     /// Bytes for a connection without a request.
-    static constexpr std::size_t connection_cost = 4 * 1024;
+    static constexpr std::size_t connection_cost = std::size_t{4} * 1024;
     /// Bytes for a request in addition to its parts: the message and the read buffers.
-    static constexpr std::size_t request_cost = 8 * 1024;
+    static constexpr std::size_t request_cost = std::size_t{8} * 1024;
     /// Bytes that libsoup keeps for a header line in addition to its text.
     static constexpr std::size_t line_cost = 128;
     /// Bytes that libsoup keeps for a chunk in addition to its data.
--- a/modules/runtime/request_scanner.cpp
+++ b/modules/runtime/request_scanner.cpp
@@ -206,10 +206,7 @@
 
 void request_scanner::end_head()
 {
-    if (in_trailer_) {
-        ended_ = true;
-    }
-    else if (chunked_) {
+    if (chunked_ && !in_trailer_) {
         place_ = place::chunk_size;
         chunk_line_ = 0;
     }
