--- a/modules/fleet/admission_forecast.h
+++ b/modules/fleet/admission_forecast.h
@@ -17,8 +17,8 @@
     std::optional<duration> mean_run_time;
 };
 
-/// Predicts the time until the last of a job's tasks starts. The free resources
-/// are filled first. From then on, by Little's law, tasks release resources at the rate of the
+/// Predicts the time until the last of a job's tasks starts. The free resources are filled first.
+/// From then on, by Little's law, tasks release resources at the rate of the
 /// occupied resources over the mean time for which they are occupied. What more urgent work takes
 /// of that is not available, except for the share that is reserved for less urgent work.
 ///
--- a/modules/fleet/owner_choice.h
+++ b/modules/fleet/owner_choice.h
@@ -67,9 +67,8 @@
 ///
 /// Answers a peak in one failure domain: the job goes to a domain with room before it waits. A
 /// domain without ample room gets it only if the wait at home is much longer, so that a peak does
-/// not fill the queues of the other domains. Owners
-/// without room in their reports are compared by their backlog; if no candidate tells its room, the
-/// choice is by backlog alone, as in the earlier version.
+/// not fill the queues of the other domains. Owners that do not tell their room are compared by
+/// their backlog; if no candidate tells it, the choice is by backlog alone.
 owner_choice choose_owner(const std::vector<const owner_view*>& candidates, const job_need& job,
                           const sent_tasks& sent, const std::string& home, rng& random,
                           time_point now);
--- a/modules/runtime/request_scanner.h
+++ b/modules/runtime/request_scanner.h
@@ -42,9 +42,8 @@
 
     /// First violation of the connection; `none` if there is none. It is final.
     ///  - `header_too_large`: the head exceeds a limit
-    ///  - `malformed_request`: a line has no colon or an empty name, or contains NUL, a bare CR or
-    ///  a
-    ///    bare LF, or a line is folded, or a length or chunk is not valid
+    ///  - `malformed_request`: a line has no colon or an empty name, contains NUL, a bare CR or a
+    ///    bare LF, or is folded; or a length or chunk is not valid
     ///  - `ambiguous_length`: Content-Length beside Transfer-Encoding, or several that differ
     reason violation() const noexcept { return violation_; }
 
