--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -15,8 +15,9 @@
 constexpr duration min_check_interval = milliseconds{50};
 constexpr duration max_check_interval = milliseconds{250};
 /// A host that expects no messages from the other end notices a loss of packets in one direction
-/// only through TCP: an idle connection is probed after this time and in this interval, and closed
-/// after this number of unanswered probes or this time without an acknowledgement.
+/// only through TCP. An idle connection is probed after `keepalive_interval_s` and then at that
+/// interval. A connection is closed after `max_unanswered_probes` unanswered probes, or if sent
+/// data is not acknowledged within `unacknowledged_limit_ms`.
 constexpr int keepalive_interval_s = 1;
 constexpr int max_unanswered_probes = 3;
 constexpr int unacknowledged_limit_ms = 4000;
--- a/modules/daemon/store_reader.cpp
+++ b/modules/daemon/store_reader.cpp
@@ -215,8 +215,8 @@
 
 void store_reader::apply_operator_records(const followed_topic& topic, time_point now)
 {
-    // Drains go first: a host that has the configuration serves, and must know them by then. They
-    // may be on a later page than the configuration.
+    // Drains are handed over before the configuration: a host serves once it has a configuration,
+    // and must know the drains by then. They may be on a later page than the configuration.
     const auto next = topic.reader.next();
     if (topic.reader.topic() != fleet::store_topic::configuration || next.newest)
         return;
--- a/modules/fleet/admission_forecast.h
+++ b/modules/fleet/admission_forecast.h
@@ -18,13 +18,14 @@
 };
 
 /// Predicts the time until the last of a job's tasks starts. The free resources are filled first.
-/// From then on, by Little's law, tasks release resources at the rate of the
-/// occupied resources over the mean time for which they are occupied. What more urgent work takes
-/// of that is not available, except for the share that is reserved for less urgent work.
+/// From then on, by Little's law, the filled resources are released at the rate of their amount
+/// over the mean time for which a task occupies them. What more urgent work takes of the released
+/// resources is not available to the job, except for the share that is reserved for less urgent
+/// work.
 ///
-/// Addresses bursts: a job that cannot start in time is refused at once and does not wait until it
-/// is late, and the forecast follows the resources in use, which fill up at the start of a burst
-/// before a rate of completed tasks rises.
+/// With the forecast, a job that cannot start in time is refused on arrival and does not wait until
+/// it is late. The forecast is based on the resources in use, because at the start of a burst they
+/// fill up before the rate of completed tasks rises.
 /// \param demand_milli of the job's waiting tasks
 /// \param reserved_share part of the released resources that more urgent work never takes
 /// \return none if too little is known for a forecast
--- a/modules/fleet/backfill.h
+++ b/modules/fleet/backfill.h
@@ -30,10 +30,10 @@
 /// Jobs that need less than a job that found no worker are still tried (backfilling). The first job
 /// of a service that found none and that a reservation helps has a worker reserved, so that smaller
 /// tasks don't keep taking the room that it waits for. Each pass over the waiting jobs determines
-/// the reservations anew in its order. A job that keeps its reservation keeps its worker for
-/// `recheck_interval`.
+/// the reservations anew in its order. The worker is searched anew every `search_interval`; in
+/// between, a job that keeps its reservation keeps its worker.
 ///
-/// Answers a load of tasks with different demands: without reservations, the largest starve while
+/// For a load of tasks with different demands: without reservations, the largest starve while
 /// smaller ones take each fragment that becomes free.
 class backfill {
 public:
@@ -53,7 +53,8 @@
     /// A task with the demand found no worker in this pass.
     void found_no_worker(const std::string& service, const resources& demand);
 
-    /// True if a task with at least this demand found no worker in this pass.
+    /// True if a task with at most this demand found no worker in this pass, so that a task with
+    /// this demand finds none either.
     bool known_not_to_fit(const std::string& service, const resources& demand) const;
 
     /// True if a worker to reserve for the job is to be searched now. If the job had a reservation
@@ -69,7 +70,7 @@
                             const std::string& job, time_point end) const;
 
 private:
-    std::map<std::string, resources> blocked_;    ///< by service: least demand that found no worker
+    std::map<std::string, resources> blocked_;    ///< by service: last demand that found no worker
     std::map<std::string, reservation> reserved_; ///< by service
     std::map<std::string, reservation> former_;   ///< of the pass before
     std::map<std::string, time_point> searched_;  ///< by service: time of the last search
--- a/modules/fleet/demand_profile.h
+++ b/modules/fleet/demand_profile.h
@@ -11,7 +11,7 @@
 
 /// What the recent jobs of a shard ask for and how long their tasks occupy it, as moving averages.
 ///
-/// Answers a load whose mix of jobs changes within seconds: free processor time alone tells neither
+/// For a load whose mix of jobs changes within seconds: free processor time alone tells neither
 /// how many more tasks fit nor how soon others make room. All amounts are thousandths of a core.
 class demand_profile {
 public:
--- a/modules/fleet/drain_state.h
+++ b/modules/fleet/drain_state.h
@@ -11,7 +11,7 @@
 /// The failure domains that operators have drained, and the offset of the operators' topic that
 /// this knowledge is based on. The topic has one partition, so that offsets order all versions.
 ///
-/// Answers a drain that reaches hosts in different ways and orders: from the store, from the host
+/// For a drain that reaches hosts in different ways and orders: from the store, from the host
 /// that reads it for its domain, and in reports of hosts that are behind or ahead.
 class drain_state {
 public:
--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -188,8 +188,8 @@
         !backfill_.begin_search(service, job.order.job, now))
         return;
     const auto demand = demand_of(job.order.steps[position->step]);
-    // Resources that stay free for the job are lost to others, and a demand of about the usual size
-    // finds room without a reservation.
+    // A reserved worker's resources are lost to other jobs until it has room, and a demand of less
+    // than 1.2 times the typical one finds room without a reservation.
     if (demand.cpu_milli * 5 < shard_.profile.typical_demand() * 6)
         return;
     std::string best;
--- a/modules/fleet/job_placer.h
+++ b/modules/fleet/job_placer.h
@@ -67,8 +67,9 @@
     /// same demand don't find either.
     bool waits_for_room_only(const job_run& job) const;
     bool lingers(const job_run& job, task_position position) const;
-    /// Reserves the worker that is expected to have room for the job's next task first, unless the
-    /// service has a reservation or the room comes too late.
+    /// Reserves the worker that is expected to have room for the job's next task first. Does
+    /// nothing if the service has a reservation, the next task belongs to a gang, its demand is
+    /// less than 1.2 times the typical one, or the room comes too late.
     void reserve_worker(const job_run& job, time_point start_by, time_point now);
     std::vector<expected_release> releases_of(const managed_worker& worker, time_point now) const;
 
--- a/modules/fleet/job_queue.h
+++ b/modules/fleet/job_queue.h
@@ -32,7 +32,7 @@
 
 /// The waiting jobs of a shard in the order in which they get resources.
 ///
-/// Answers a load that exceeds the shard's resources for some seconds: by latest start alone, all
+/// For a load that exceeds the shard's resources for some seconds: by latest start alone, all
 /// jobs would start late, whatever their priority. The higher priority goes first; within one, jobs
 /// that have started tasks go before others, so that the resources that they hold are not wasted.
 /// Less urgent jobs do not starve: while they wait, they get at least `reserved_share` of the work
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -423,7 +423,7 @@
 void job_router::tick(time_point now)
 {
     const deferral_scope deferral{*this, now};
-    // All waiting jobs use the same views: owners are many, and so are the jobs at a peak.
+    // The views are made once for all waiting jobs: at a peak, there are many owners and many jobs.
     std::optional<std::vector<owner_view>> owners;
     std::vector<std::string> expired;
     std::vector<std::string> drained;
--- a/modules/fleet/owner_choice.cpp
+++ b/modules/fleet/owner_choice.cpp
@@ -24,8 +24,8 @@
 /// Another domain counts as having room for a job only if it could start this many of them: other
 /// hosts choose from the same report.
 constexpr std::uint64_t remote_room_factor = 3;
-/// Expected delays count as equal if they differ by at most this part of the least one: run times,
-/// from which the owners predict waits, are off by more.
+/// Expected delays count as equal if they exceed the least one by at most that one divided by this:
+/// run times, from which the owners predict waits, are off by more.
 constexpr std::int64_t equal_cost_divisor = 4;
 
 /// A candidate with its estimate.
@@ -69,8 +69,8 @@
     return best;
 }
 
-/// Random number whose minimum over several owners falls on each of them with a probability in
-/// proportion to its weight.
+/// Random number for a choice by weight: of several owners, each has the least number with a
+/// probability proportional to its weight.
 double random_rank(const rated_owner& one, rng& random)
 {
     const auto weight = one.estimate.starts_now ? one.estimate.room : one.owner->free_milli;
--- a/modules/fleet/owner_choice.h
+++ b/modules/fleet/owner_choice.h
@@ -42,7 +42,7 @@
 
 /// False if the owner's report says that the job cannot start there in time.
 ///
-/// Answers an overload of all domains: a refused job is not passed on to owners that will refuse it
+/// For an overload of all domains: a refused job is not passed on to owners that will refuse it
 /// as well.
 /// \param slack time within which the job must start
 bool may_start_in_time(const owner_estimate& estimate, duration slack);
@@ -65,7 +65,7 @@
 /// choice is random, in proportion to their room, so that hosts that choose from the same reports
 /// fill the owners evenly.
 ///
-/// Answers a peak in one failure domain: the job goes to a domain with room before it waits. A
+/// For a peak in one failure domain: the job goes to a domain with room before it waits. A
 /// domain without ample room gets it only if the wait at home is much longer, so that a peak does
 /// not fill the queues of the other domains. Owners that do not tell their room are compared by
 /// their backlog; if no candidate tells it, the choice is by backlog alone.
--- a/modules/fleet/placement.cpp
+++ b/modules/fleet/placement.cpp
@@ -14,7 +14,7 @@
 constexpr double run_time_margin = 1.3;
 /// Factor on the expected run time of a task away from its data, if no worker meets the objective.
 constexpr double away_from_data_factor = 3;
-/// Remainders are compared in steps of this part of the typical demand.
+/// Remainders are compared in steps of the typical demand divided by this.
 constexpr std::int64_t remainder_steps = 8;
 
 /// Order of preference; the least is chosen.
--- a/modules/fleet/placement.h
+++ b/modules/fleet/placement.h
@@ -38,7 +38,7 @@
 /// band. Within a band, the best fit decides: the least remainder that no typical task can use,
 /// then the least remainder. The worker of the task's last run comes last.
 ///
-/// Answers a load whose tasks need about half of a worker, on workers whose learned speeds differ
+/// For a load whose tasks need about half of a worker, on workers whose learned speeds differ
 /// by chance: without bands, chance decides before fit, and free processor time is scattered over
 /// workers where no task fits.
 /// \return index of the chosen candidate; none if there are no candidates
--- a/modules/fleet/progress_check.h
+++ b/modules/fleet/progress_check.h
@@ -13,10 +13,10 @@
 
 /// True if the run makes no progress.
 ///
-/// Answers workers on which tasks stand still, beside jobs whose estimates are far too short: such
-/// a task is slow on every worker, and if its runs were stopped, it would never be completed and
-/// would make each of these workers look slow. Workers that are slow are told by the run times of
-/// their completed tasks (`run_time_model`).
+/// A run that only exceeds its expected time is not stopped: if its estimate is far too short, it
+/// is slow on every worker, so it would never be completed if its runs were stopped, and each of
+/// these workers would count as slow. Slow workers are recognised by the run times of their
+/// completed tasks (`run_time_model`).
 bool is_stalled(const run_progress& run);
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/sent_tasks.h
+++ b/modules/fleet/sent_tasks.h
@@ -13,7 +13,7 @@
 /// Number of tasks that this host has sent to each owner since the owner's last report, which does
 /// not count them yet.
 ///
-/// Answers a burst between two reports: without this record, a host would send all of it to the
+/// For a burst between two reports: without this record, a host would send all of it to the
 /// owner that had the most room in its last report.
 class sent_tasks {
 public:
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -287,7 +287,8 @@
 
 void shard_owner::enqueue(job_run& job)
 {
-    // The latest start changes as run times are learned; a job keeps the one of its first entry.
+    // The latest start changes as run times are learned. A waiting job keeps that of its entry
+    // until some of its tasks are started or the order of the queue changes.
     if (job.placeable() == 0 || std::exchange(job.waits, true))
         return;
     queue_.put(queue_entry(job));
@@ -303,8 +304,8 @@
 void shard_owner::note_demand(const job_run& job, time_point now)
 {
     const bool former_order = !by_priority();
-    // The priority that the sender gave counts: a remote job of the only priority is not of
-    // another.
+    // The priority as sent counts here. A job from another domain waits with the next lower one,
+    // which alone must not start the order by priority.
     several_priorities_ |= last_priority_.value_or(job.order.priority) != job.order.priority;
     last_priority_ = job.order.priority;
     for (const auto& step : job.order.steps)
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -210,8 +210,8 @@
     void give_back_unstarted(wire::job_end end, time_point now);
     /// Ends the started jobs without an active task as `interrupted`.
     void end_idle_jobs(time_point now);
-    /// True if so much processor time may be taken besides that in use. While the share is limited,
-    /// one task or gang is always admitted if none runs, so that large ones make progress.
+    /// True if tasks may take this much more processor time. While the share is limited, one task
+    /// or gang is always admitted if none runs, so that those larger than the share can start.
     bool share_admits(std::int64_t cpu_milli) const;
     void count_end(wire::job_end end);
 
--- a/modules/fleet/tests/progress_check_test.cpp
+++ b/modules/fleet/tests/progress_check_test.cpp
@@ -27,8 +27,8 @@
     return false;
 }
 
-// Guards against a task that is never completed: its estimate was a seventh of its run time, and
-// each of its runs was stopped as hanging until the caller's deadline passed.
+// Guards against a task that is never completed because each of its runs is stopped as stalled: its
+// run time is seven times its estimate.
 TEST(progress_check, task_with_a_short_estimate_goes_on)
 {
     EXPECT_FALSE(stalls(milliseconds{170}, milliseconds{1190}));
--- a/modules/fleet/usable_capacity.h
+++ b/modules/fleet/usable_capacity.h
@@ -9,7 +9,7 @@
 
 /// Resources of the workers on which tasks may be started.
 ///
-/// Answers a load whose tasks need a large part of a worker: the sum of the free processor time
+/// For a load whose tasks need a large part of a worker: the sum of the free processor time
 /// counts fragments into which no task fits.
 class usable_capacity {
 public:
@@ -17,7 +17,7 @@
     /// \param free what no task occupies
     void add(const resources& capacity, const resources& free);
 
-    /// Limits the use of the workers that were added to a part of their processor time.
+    /// Limits the processor time in use on the added workers to this share of their capacity.
     void limit(double share);
 
     std::size_t workers() const noexcept { return workers_.size(); }
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -93,10 +93,10 @@
     /// Scans bytes that a connection has received, and refuses requests that exceed a limit.
     void on_bytes(connection& conn, std::string_view bytes);
     void update_charge(connection& conn);
-    /// Refuses the largest requests until the rest fits the budget.
+    /// Refuses the connections chosen by `request_budget::victim` until it returns none.
     void enforce_budget(const connection& current);
-    /// Sends the response for the reason, if any request is being received, and ends the
-    /// connection.
+    /// Ends the connection. Sends the response for the reason first, except over TLS, to an idle
+    /// connection that has timed out, and while a request is being handled.
     void refuse_request(connection& conn, reason why);
     /// True if the caller has not used the connection, or not read its response, for too long.
     bool exceeds_idle_timeout(connection& conn, time_point now) const;
--- a/modules/runtime/request_budget.h
+++ b/modules/runtime/request_budget.h
@@ -45,12 +45,12 @@
     /// Estimated memory of all connections in bytes.
     std::size_t used() const noexcept { return used_; }
 
-    /// Connection to refuse while the budget is exceeded: the one that is being read, unless its
-    /// requests are below the mean size, because its memory is freed at once; otherwise the one
-    /// with the largest requests, the newest of several. Memory of refused requests is taken as
-    /// free for a request below the mean.
+    /// Connection to refuse while the budget is exceeded; 0 if none needs to be refused or can be.
     ///
-    /// Returns 0 if none needs to be refused or can be.
+    /// If the connection that is being read (`current`) may be refused and holds at least the mean,
+    /// it is chosen, because its memory is freed at once. Otherwise it is the connection that holds
+    /// the most, the newest of several with the same amount, but only if the budget is exceeded
+    /// even without the memory that refused requests still hold.
     std::uint64_t victim(std::uint64_t current) const;
 
 private:
