--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -64,9 +64,8 @@
     static constexpr duration lease = milliseconds{900};
 
     /// Time after its last reply for which an idle worker counts as the same incarnation. No poll
-    /// is in flight to an idle worker, so its restart breaks no connection. The confirmation delays
-    /// the start, so that it is left to workers that are rarely used.
-    static constexpr duration max_unconfirmed = seconds{1};
+    /// is in flight to an idle worker, so its restart breaks no connection.
+    static constexpr duration max_unconfirmed = milliseconds{100};
 
     /// Maximum lease that any owner can have granted, by the worker's clock.
     static constexpr duration max_lease = milliseconds{1000};
