Accept connections with a record until the server ends

Callers saw connections end without a response at the end of a planned stop of a host that had logged idle=true open=0.

Cause: close_idle() destroyed the server's accept source, but libsoup's own listener stayed and accepted the connections that still came. They had no record, so the stop did not wait for their requests, and limits and budget did not see them. A load balancer that finds too few ready hosts in a zone sends connections to stopping ones.

--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -370,11 +370,6 @@
 
 void http_server::close_idle()
 {
-    if (accept_source_ != nullptr) {
-        g_source_destroy(accept_source_);
-        g_source_unref(accept_source_);
-        accept_source_ = nullptr;
-    }
     for (auto* conn : connections_) {
         if (conn->in_handler || conn->state->receiving || conn->closed_as_idle)
             continue;
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -72,8 +72,9 @@
     /// Sets a function to call for each connection that the server ends, before it does.
     void on_connection_end(connection_observer observer) { observer_ = std::move(observer); }
 
-    /// Stops accepting connections and closes those that are between two requests. Further calls
-    /// close connections that have become idle since the previous call.
+    /// Closes the connections that are between two requests. Further calls close connections that
+    /// have become idle since the previous call. The server accepts further connections until it is
+    /// destroyed.
     void close_idle();
 
     std::size_t open_connections() const noexcept { return connections_.size(); }
