Judge a connection as idle by what has arrived on it

Callers saw connections end without a response, on hosts that were not stopping as well as on those that were.

Cause: a connection counted as idle by a view that did not include what had arrived on it. A response that was still being written was cut the same way. The close at a stop looked neither at bytes in the socket nor at requests behind the first, and what was read after the shutdown was dropped. A half-read request did not count as busy, so that a process could end with it.

The time of the last byte or response is kept with the connection. It is closed for idleness only if nothing of a request is in the scanner, the read buffer or the socket, and nothing is read from it afterwards. A response has the idle timeout for itself, from the call that sent it. A process that was suspended reads the rest of a request before it refuses it as too slow.

--- a/modules/daemon/caller_front.h
+++ b/modules/daemon/caller_front.h
@@ -18,14 +18,12 @@
     /// with its next response.
     virtual void begin_closing() = 0;
 
-    /// Stops accepting connections and closes idle ones. May be called repeatedly.
+    /// Closes the connections that are unused. May be called repeatedly.
     virtual void close_idle() = 0;
 
-    /// Number of requests whose responses have not been written completely.
+    /// Number of connections with a request that has begun to arrive, or with a response that the
+    /// caller has not received.
     virtual std::size_t pending_responses() const = 0;
-
-    /// Number of requests on connections that the front end has no record of.
-    virtual std::size_t unrecorded_requests() const = 0;
 };
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -174,7 +174,6 @@
     log_line{"stopped"}
         .add("idle", idle ? "true" : "false")
         .add("open", std::uint64_t{adapters_.callers->pending_responses()})
-        .add("unrecorded", std::uint64_t{adapters_.callers->unrecorded_requests()})
         .add("jobs", std::uint64_t{core_->router().jobs()})
         .add("drained", core_->drained() ? "true" : "false")
         .write();
--- a/modules/runtime/http_exchange.cpp
+++ b/modules/runtime/http_exchange.cpp
@@ -55,6 +55,7 @@
     if (answered_ || !self_)
         return;
     answered_ = true;
+    answered_at_ = boot_clock::now();
     on_disconnect_ = nullptr;
     auto* headers = soup_server_message_get_response_headers(message_.get());
     for (const auto& field : response.headers)
--- a/modules/runtime/http_exchange.h
+++ b/modules/runtime/http_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/time.h>
 #include <functional>
 #include <libsoup/soup.h>
 #include <memory>
@@ -37,6 +38,9 @@
 
     bool answered() const noexcept { return answered_; }
 
+    /// Time of the call of `respond`; meaningful if `answered`.
+    time_point answered_at() const noexcept { return answered_at_; }
+
     /// Ends the exchange after the caller has disconnected. Used by `http_server` only.
     void handle_disconnect();
 
@@ -52,6 +56,7 @@
     std::shared_ptr<http_exchange> self_;
     gulong finished_handler_ = 0;
     bool answered_ = false;
+    time_point answered_at_{};
     bool paused_ = false;
 };
 
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -56,20 +56,36 @@
     http_server* server;
     gobject_ptr<GSocket> socket;
     std::shared_ptr<receive_state> state = std::make_shared<receive_state>();
-    std::weak_ptr<http_exchange> exchange{}; ///< the one that awaits its response
-    std::optional<time_point> receiving_since{};
-    std::optional<time_point> unused_since{};
-    time_point last_used = boot_clock::now(); ///< a byte arrived, or a response was written
+    std::weak_ptr<http_exchange> exchange{};     ///< the one that awaits its response
+    std::optional<time_point> receiving_since{}; ///< first byte of a request that is incomplete
+    time_point last_used = boot_clock::now();    ///< a byte arrived, or a response was written
     bool in_handler = false;
-    bool closed_as_idle = false; ///< by close_idle()
-    bool body_refused = false;   ///< a response is sent while the rest of the body is discarded
-    std::uint64_t number = 0;    ///< in the budget
+    bool body_refused = false; ///< a response is sent while the rest of the body is discarded
+    std::uint64_t number = 0;  ///< in the budget
     request_scanner scanner{};
     /// Requests that have arrived and are not answered, the oldest first. Those behind the first
     /// are still bytes in the read buffer.
     std::deque<request_size> complete{};
+
+    /// True if nothing of a request has arrived, neither here nor in the socket, and no response is
+    /// being written.
+    bool between_requests() const;
+    /// True if the connection can be closed without loss: it is between two requests, and the
+    /// caller has received every response.
+    bool unused() const;
 };
 
+bool http_server::connection::between_requests() const
+{
+    return !in_handler && !state->receiving && complete.empty() && !scanner.receiving() &&
+           unread_bytes(socket.get()) == 0;
+}
+
+bool http_server::connection::unused() const
+{
+    return between_requests() && unacknowledged_bytes(socket.get()) == 0;
+}
+
 http_server::http_server(http_limits limits, handler handle, refusal refuse, std::size_t budget)
     : limits_{limits}, handler_{std::move(handle)}, refuse_{std::move(refuse)},
       server_{soup_server_new("server-header", "chivewharf", nullptr)}, budget_{budget}
@@ -93,7 +109,7 @@
     }
     g_signal_handlers_disconnect_by_data(server_.get(), this);
     for (auto* conn : connections_) {
-        if (!conn->state->refused && !conn->closed_as_idle)
+        if (!conn->state->ended)
             report_end(*conn, end_cause::exit);
         conn->server = nullptr;
     }
@@ -213,6 +229,8 @@
 void http_server::on_bytes(connection& conn, std::string_view bytes)
 {
     conn.last_used = boot_clock::now();
+    if (!conn.receiving_since)
+        conn.receiving_since = conn.last_used;
     while (!bytes.empty()) {
         bytes.remove_prefix(conn.scanner.scan(bytes, limits_.head));
         if (conn.scanner.violation() != reason::none)
@@ -248,15 +266,12 @@
 void http_server::refuse_request(connection& conn, reason why)
 {
     report_end(conn, end_cause::refusal, why);
-    conn.state->refused = true;
-    conn.receiving_since.reset();
     budget_.refuse(conn.number);
     const auto response = refuse_(why);
     const bool expects_response = why != reason::idle_timeout && !conn.in_handler;
     if (expects_response && !certificate_)
         write_raw(conn.socket.get(), response);
-    // libsoup then reads the end of the stream and closes the connection.
-    g_socket_shutdown(conn.socket.get(), TRUE, TRUE, nullptr);
+    end_connection(conn);
 }
 
 void http_server::refuse_connection(GSocket* socket)
@@ -310,14 +325,14 @@
         server->refuse_body(message);
 }
 
-void http_server::request_read(SoupServer* /*server*/, SoupServerMessage* message, gpointer self)
+void http_server::request_read(SoupServer* /*server*/, SoupServerMessage* message,
+                               gpointer /*self*/)
 {
     auto* conn = find(message);
-    if (conn == nullptr) {
-        ++static_cast<http_server*>(self)->unrecorded_requests_;
+    if (conn == nullptr)
         return;
-    }
     conn->in_handler = true;
+    conn->receiving_since.reset();
     conn->server->update_charge(*conn);
 }
 
@@ -330,10 +345,13 @@
     conn->in_handler = false;
     conn->last_used = boot_clock::now();
     conn->state->receiving = false;
-    conn->receiving_since.reset();
     conn->body_refused = false;
     if (!conn->complete.empty())
         conn->complete.pop_front();
+    if (conn->scanner.receiving())
+        conn->receiving_since = conn->last_used;
+    else
+        conn->receiving_since.reset();
     if (conn->server != nullptr)
         conn->server->update_charge(*conn);
 }
@@ -342,7 +360,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(),
-                      [](const auto* conn) { return conn->in_handler; }));
+                      [](const auto* conn) { return !conn->state->ended && !conn->unused(); }));
 }
 
 void http_server::handle(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
@@ -353,7 +371,7 @@
     const auto exchange = http_exchange::start(message, path, query);
     auto* conn = find(message);
     // A request that was refused as not run must not reach the handler.
-    if (conn != nullptr && conn->state->refused) {
+    if (conn != nullptr && conn->state->ended) {
         exchange->handle_disconnect();
         return;
     }
@@ -371,59 +389,69 @@
 void http_server::close_idle()
 {
     for (auto* conn : connections_) {
-        if (conn->in_handler || conn->state->receiving || conn->closed_as_idle)
+        if (conn->state->ended || !conn->unused())
             continue;
-        conn->closed_as_idle = true;
         report_end(*conn, end_cause::stop);
-        g_socket_shutdown(conn->socket.get(), TRUE, TRUE, nullptr);
+        end_connection(*conn);
     }
 }
 
+void http_server::end_connection(connection& conn)
+{
+    conn.state->ended = true;
+    // libsoup then reads the end of the stream and closes the connection.
+    g_socket_shutdown(conn.socket.get(), TRUE, TRUE, nullptr);
+}
+
 void http_server::sweep()
 {
     const auto now = boot_clock::now();
     std::vector<connection*> slow;
-    std::vector<connection*> unused;
+    std::vector<connection*> idle;
     std::vector<std::shared_ptr<http_exchange>> disconnected;
     for (auto* conn : connections_) {
-        if (conn->state->refused)
+        if (conn->state->ended)
             continue;
         if (exceeds_idle_timeout(*conn, now))
-            unused.push_back(conn);
-        else if (conn->in_handler) {
-            if (auto waiting = conn->exchange.lock();
-                waiting && !waiting->answered() && closed_by_peer(conn->socket.get()))
-                disconnected.push_back(std::move(waiting));
-        }
-        else if (!conn->state->receiving) {
-            conn->receiving_since.reset();
-        }
-        else if (!conn->receiving_since) {
-            conn->receiving_since = now;
-        }
-        else if (now - *conn->receiving_since > limits_.request_timeout) {
+            idle.push_back(conn);
+        else if (exceeds_request_timeout(*conn, now))
             slow.push_back(conn);
-        }
+        else if (auto waiting = conn->exchange.lock(); conn->in_handler && waiting &&
+                                                       !waiting->answered() &&
+                                                       closed_by_peer(conn->socket.get()))
+            disconnected.push_back(std::move(waiting));
     }
     for (const auto& exchange : disconnected)
         exchange->handle_disconnect();
     for (auto* conn : slow)
         refuse_request(*conn, reason::header_timeout);
-    for (auto* conn : unused)
+    for (auto* conn : idle)
         refuse_request(*conn, reason::idle_timeout);
 }
 
-bool http_server::exceeds_idle_timeout(connection& conn, time_point now) const
+bool http_server::exceeds_idle_timeout(const connection& conn, time_point now) const
 {
-    const auto waiting = conn.exchange.lock();
-    const bool awaits_response = conn.in_handler && waiting && !waiting->answered();
-    if (awaits_response || (conn.state->receiving && !conn.in_handler)) {
-        conn.unused_since.reset();
+    if (limits_.idle_timeout == duration{} || now - conn.last_used <= limits_.idle_timeout)
         return false;
-    }
-    if (!conn.unused_since)
-        conn.unused_since = now;
-    return limits_.idle_timeout > duration{} && now - *conn.unused_since > limits_.idle_timeout;
+    return conn.between_requests() || untaken_since(conn, now) > limits_.idle_timeout;
+}
+
+duration http_server::untaken_since(const connection& conn, time_point now)
+{
+    const auto exchange = conn.exchange.lock();
+    return conn.in_handler && exchange && exchange->answered() ? now - exchange->answered_at()
+                                                               : duration{};
+}
+
+bool http_server::exceeds_request_timeout(const connection& conn, time_point now) const
+{
+    if (conn.in_handler || !conn.receiving_since)
+        return false;
+    const auto elapsed = now - *conn.receiving_since;
+    // If the process did not run for a while, the rest of the request may be in the socket.
+    const bool rest_may_have_arrived = unread_bytes(conn.socket.get()) > 0;
+    return elapsed >
+           limits_.request_timeout + (rest_may_have_arrived ? sweep_interval : duration{});
 }
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -72,19 +72,17 @@
     /// Sets a function to call for each connection that the server ends, before it does.
     void on_connection_end(connection_observer observer) { observer_ = std::move(observer); }
 
-    /// Closes the connections that are between two requests. Further calls close connections that
-    /// have become idle since the previous call. The server accepts further connections until it is
-    /// destroyed.
+    /// Closes the connections that are unused: nothing of a request has arrived, and the caller has
+    /// received every response. May be called repeatedly. The server accepts further connections
+    /// until it is destroyed.
     void close_idle();
 
     std::size_t open_connections() const noexcept { return connections_.size(); }
 
-    /// Number of connections with a request whose response has not been written completely.
+    /// Number of connections that are not unused in the sense of `close_idle`. If it is 0, nothing
+    /// that has arrived is lost when the process ends.
     std::size_t busy_connections() const;
 
-    /// Number of requests on connections that this server has not accepted itself.
-    std::size_t unrecorded_requests() const noexcept { return unrecorded_requests_; }
-
 private:
     struct connection;
 
@@ -107,8 +105,12 @@
     /// Ends the connection. Sends the response for the reason first, except over TLS, to an idle
     /// connection that has timed out, and while a request is being handled.
     void refuse_request(connection& conn, reason why);
+    static void end_connection(connection& conn);
     /// True if the caller has not used the connection, or not read its response, for too long.
-    bool exceeds_idle_timeout(connection& conn, time_point now) const;
+    bool exceeds_idle_timeout(const connection& conn, time_point now) const;
+    /// Time for which a response has not been read by its caller completely; 0 if there is none.
+    static duration untaken_since(const connection& conn, time_point now);
+    bool exceeds_request_timeout(const connection& conn, time_point now) const;
 
     void accept(gobject_ptr<GSocket> socket);
     void refuse_connection(GSocket* socket);
@@ -123,7 +125,6 @@
     handler handler_;
     refusal refuse_;
     connection_observer observer_;
-    std::size_t unrecorded_requests_ = 0;
     gobject_ptr<SoupServer> server_;
     gobject_ptr<GSocket> listener_;
     gobject_ptr<GTlsCertificate> certificate_;
--- a/modules/runtime/request_stream.cpp
+++ b/modules/runtime/request_stream.cpp
@@ -36,9 +36,9 @@
 {
     if (size > 0) {
         auto& state = *content.state;
-        if (!state.refused && state.on_bytes)
+        if (!state.ended && state.on_bytes)
             state.on_bytes({static_cast<const char*>(buffer), static_cast<std::size_t>(size)});
-        if (!state.refused) {
+        if (!state.ended) {
             state.receiving = true;
             return size;
         }
@@ -58,19 +58,21 @@
             GError** error)
 {
     auto& content = content_of(stream);
-    return adapt_read_result(content,
-                             g_input_stream_read(content.base, buffer, count, cancellable, error),
-                             buffer, error);
+    const auto size = content.state->ended
+                          ? 0
+                          : g_input_stream_read(content.base, buffer, count, cancellable, error);
+    return adapt_read_result(content, size, buffer, error);
 }
 
 gssize read_nonblocking(GPollableInputStream* stream, void* buffer, gsize count, GError** error)
 {
     auto& content = content_of(stream);
-    return adapt_read_result(
-        content,
-        g_pollable_input_stream_read_nonblocking(G_POLLABLE_INPUT_STREAM(content.base), buffer,
-                                                 count, nullptr, error),
-        buffer, error);
+    const auto size =
+        content.state->ended
+            ? 0
+            : g_pollable_input_stream_read_nonblocking(G_POLLABLE_INPUT_STREAM(content.base),
+                                                       buffer, count, nullptr, error);
+    return adapt_read_result(content, size, buffer, error);
 }
 
 gboolean is_readable(GPollableInputStream* stream)
--- a/modules/runtime/request_stream.h
+++ b/modules/runtime/request_stream.h
@@ -12,11 +12,11 @@
 struct receive_state {
     /// Set by the stream at the first byte of a request; cleared by the server at its end.
     bool receiving = false;
-    /// Set by the server when it has refused a request and ends the connection: the stream reports
-    /// its end from then on.
-    bool refused = false;
+    /// Set by the server when it ends the connection: the stream reports its end from then on, and
+    /// reads nothing that would not be answered.
+    bool ended = false;
     /// Called with the bytes of each read before libsoup gets them. The bytes are dropped if it
-    /// sets `refused`.
+    /// sets `ended`.
     std::function<void(std::string_view)> on_bytes;
 };
 
