Tests of idle connections: shorter, and able to fail

The test of pipelined requests could not fail, because libsoup hands on a complete request at once. In its place a request that has only begun behind another one; it fails on the former code and passes on this one.

--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -227,8 +227,7 @@
         const auto body = std::to_string(i);
         caller.send(post(body));
         ASSERT_TRUE(receives(caller, '<' + body + '>')) << "request " << i;
-        const auto next = boot_clock::now() + milliseconds{50};
-        run_until([next] { return boot_clock::now() >= next; });
+        run_until([] { return false; }, milliseconds{50});
     }
 }
 
@@ -266,15 +265,18 @@
         EXPECT_TRUE(receives(*caller, "<2>")) << caller->received;
 }
 
-// Guards against a request behind another one that is dropped because no handler has it yet.
-TEST_F(http_server_test, answers_a_pipelined_request_at_a_stop)
+// Guards against a request that is dropped because it has begun behind another one and is only in
+// the read buffer.
+TEST_F(http_server_test, answers_a_request_that_began_behind_another_at_a_stop)
 {
     start({});
     raw_socket caller{port_};
-    caller.send(post("1") + post("2") + post("3"));
+    const auto second = post("2");
+    caller.send(post("1") + second.substr(0, 10));
     ASSERT_TRUE(receives(caller, "<1>"));
     server_->close_idle();
-    EXPECT_TRUE(receives(caller, "<3>")) << caller.received;
+    caller.send(second.substr(10));
+    EXPECT_TRUE(receives(caller, "<2>")) << caller.received;
 }
 
 // Guards against a process that ends with requests on connections that nobody counts: libsoup's
