Apply a shorter idle timeout from a connection's next response on

Beside a change of the configuration, callers may see connections end without a response.

Each close races with a request that is on its way, and many closes in one moment make such a cut likely.

The limit under which a connection's last response was written, or it was accepted, now holds for its time of rest, unless the new one is longer. The new test fails if the current limit is applied at once.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -113,6 +113,8 @@
         .add("version", config_.version())
         .add("former", former)
         .add("queues", std::uint64_t{config()->queues.size()})
+        .add("idle_timeout_ms", to_ms(config()->limits.idle_timeout))
+        .add("request_timeout_ms", to_ms(config()->limits.request_timeout))
         .write();
     metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_.version());
     report_cache reports{*this, now};
--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -59,6 +59,7 @@
     std::weak_ptr<http_exchange> exchange{};     ///< the one that awaits its response
     std::optional<time_point> receiving_since{}; ///< first byte of a request that is incomplete
     time_point last_used = boot_clock::now();    ///< a byte arrived, or a response was written
+    duration idle_timeout{};                     ///< in force when its last response was written
     bool in_handler = false;
     bool body_refused = false; ///< a response is sent while the rest of the body is discarded
     std::uint64_t number = 0;  ///< in the budget
@@ -175,6 +176,7 @@
     const gobject_ptr<GSocketConnection> stream{
         g_socket_connection_factory_create_connection(socket.get())};
     auto* record = new connection{this, std::move(socket)};
+    record->idle_timeout = limits_.idle_timeout;
     connections_.insert(record);
     record->number = budget_.open();
     by_number_.emplace(record->number, record);
@@ -352,8 +354,10 @@
         conn->receiving_since = conn->last_used;
     else
         conn->receiving_since.reset();
-    if (conn->server != nullptr)
-        conn->server->update_charge(*conn);
+    if (conn->server == nullptr)
+        return;
+    conn->idle_timeout = conn->server->limits_.idle_timeout;
+    conn->server->update_charge(*conn);
 }
 
 std::size_t http_server::busy_connections() const
@@ -431,12 +435,17 @@
 
 bool http_server::exceeds_idle_timeout(const connection& conn, time_point now) const
 {
-    if (limits_.idle_timeout == duration{} || now - conn.last_used <= limits_.idle_timeout)
+    if (limits_.idle_timeout == duration{} || conn.idle_timeout == duration{})
+        return false;
+    // A shorter timeout applies from the connection's next response on. Otherwise a change would
+    // close many connections in one moment, some of them beside a request that is on its way.
+    const auto limit = std::max(limits_.idle_timeout, conn.idle_timeout);
+    if (now - conn.last_used <= limit)
         return false;
-    return conn.between_requests() || untaken_since(conn, now) > limits_.idle_timeout;
+    return conn.between_requests() || untaken_for(conn, now) > limit;
 }
 
-duration http_server::untaken_since(const connection& conn, time_point now)
+duration http_server::untaken_for(const connection& conn, time_point now)
 {
     const auto exchange = conn.exchange.lock();
     return conn.in_handler && exchange && exchange->answered() ? now - exchange->answered_at()
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -66,7 +66,8 @@
     result<std::uint16_t, runtime_error> listen(std::string_view address,
                                                 const tls_files& tls = {});
 
-    /// Replaces the limits. Connections that exceed the new limits are not closed.
+    /// Replaces the limits. A shorter idle timeout applies to a connection from its next response
+    /// on.
     void set_limits(const http_limits& limits) { limits_ = limits; }
 
     /// Sets a function to call for each connection that the server ends, before it does.
@@ -109,7 +110,7 @@
     /// True if the caller has not used the connection, or not read its response, for too long.
     bool exceeds_idle_timeout(const connection& conn, time_point now) const;
     /// Time for which a response has not been read by its caller completely; 0 if there is none.
-    static duration untaken_since(const connection& conn, time_point now);
+    static duration untaken_for(const connection& conn, time_point now);
     bool exceeds_request_timeout(const connection& conn, time_point now) const;
 
     void accept(gobject_ptr<GSocket> socket);
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -231,6 +231,25 @@
     }
 }
 
+// Guards against a change of the limits that closes many connections in one moment.
+TEST_F(http_server_test, applies_a_shorter_idle_timeout_from_the_next_response_on)
+{
+    http_limits limits;
+    limits.idle_timeout = seconds{60};
+    start(limits);
+    raw_socket caller{port_};
+    caller.send(post("1"));
+    ASSERT_TRUE(receives(caller, "<1>"));
+    limits.idle_timeout = milliseconds{1};
+    server_->set_limits(limits);
+    raw_socket later{port_};
+    ASSERT_TRUE(run_until([&later] { return later.ended; })) << "accepted under the new limits";
+    EXPECT_FALSE(caller.ended);
+    caller.send(post("2"));
+    EXPECT_TRUE(receives(caller, "<2>"));
+    EXPECT_TRUE(run_until([&caller] { return caller.ended; }));
+}
+
 // Guards against a request that is read and dropped because its connection was taken for idle while
 // it was still in the socket.
 TEST_F(http_server_test, answers_a_request_that_waits_in_the_socket_at_a_stop)
