Split the state of a server connection from the HTTP server

http_server.cpp held the state of a connection, the decisions on when it may be closed and the response that is written past libsoup besides the plumbing of libsoup. The first two are now server_connection, the last raw_response.

--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -1,12 +1,13 @@
 #include <runtime/http_server.h>
 
 #include <algorithm>
-#include <deque>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <optional>
+
+#include <runtime/raw_response.h>
 #include <runtime/request_stream.h>
+#include <runtime/server_connection.h>
 #include <runtime/socket_state.h>
 #include <vector>
 
@@ -18,25 +19,6 @@
 constexpr duration sweep_interval = milliseconds{500};
 constexpr const char* connection_key = "chivewharf-connection";
 
-std::string raw_response(const http_response& response)
-{
-    std::string fields;
-    for (const auto& field : response.headers)
-        fields += field.name + ": " + field.value + "\r\n";
-    return "HTTP/1.1 " + std::to_string(response.status) + ' ' +
-           soup_status_get_phrase(response.status) + "\r\n" + fields +
-           "Content-Type: " + response.content_type +
-           "\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size()) +
-           "\r\n\r\n" + response.body;
-}
-
-void write_raw(GSocket* socket, const http_response& response)
-{
-    const auto text = raw_response(response);
-    // A partial write is accepted: the connection is closed next, and the loop must not block.
-    g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
-}
-
 } // namespace
 
 http_limits http_limits::for_probes()
@@ -51,42 +33,6 @@
             seconds{15}};
 }
 
-/// State of an open connection. Freed when libsoup releases the stream.
-struct http_server::connection {
-    http_server* server;
-    gobject_ptr<GSocket> socket;
-    std::shared_ptr<receive_state> state = std::make_shared<receive_state>();
-    std::weak_ptr<http_exchange> exchange{};     ///< the one that awaits its response
-    std::optional<time_point> receiving_since{}; ///< first byte of a request that is incomplete
-    time_point last_used = boot_clock::now();    ///< a byte arrived, or a response was written
-    duration idle_timeout{};                     ///< in force when its last response was written
-    bool in_handler = false;
-    bool body_refused = false; ///< a response is sent while the rest of the body is discarded
-    std::uint64_t number = 0;  ///< in the budget
-    request_scanner scanner{};
-    /// Requests that have arrived and are not answered, the oldest first. Those behind the first
-    /// are still bytes in the read buffer.
-    std::deque<request_size> complete{};
-
-    /// True if nothing of a request has arrived, neither here nor in the socket, and no response is
-    /// being written.
-    bool between_requests() const;
-    /// True if the connection can be closed without loss: it is between two requests, and the
-    /// caller has received every response.
-    bool unused() const;
-};
-
-bool http_server::connection::between_requests() const
-{
-    return !in_handler && !state->receiving && complete.empty() && !scanner.receiving() &&
-           unread_bytes(socket.get()) == 0;
-}
-
-bool http_server::connection::unused() const
-{
-    return between_requests() && unacknowledged_bytes(socket.get()) == 0;
-}
-
 http_server::http_server(http_limits limits, handler handle, refusal refuse, std::size_t budget)
     : limits_{limits}, handler_{std::move(handle)}, refuse_{std::move(refuse)},
       server_{soup_server_new("server-header", "chivewharf", nullptr)}, budget_{budget}
@@ -175,7 +121,7 @@
         return;
     const gobject_ptr<GSocketConnection> stream{
         g_socket_connection_factory_create_connection(socket.get())};
-    auto* record = new connection{this, std::move(socket)};
+    auto* record = new server_connection{this, std::move(socket)};
     record->idle_timeout = limits_.idle_timeout;
     connections_.insert(record);
     record->number = budget_.open();
@@ -201,7 +147,7 @@
 
 void http_server::connection_closed(gpointer record, GObject* /*stream*/)
 {
-    const std::unique_ptr<connection> closed{static_cast<connection*>(record)};
+    const std::unique_ptr<server_connection> closed{static_cast<server_connection*>(record)};
     // The stream may outlive the record.
     closed->state->on_bytes = nullptr;
     if (closed->server == nullptr)
@@ -211,24 +157,13 @@
     closed->server->budget_.close(closed->number);
 }
 
-void http_server::report_end(const connection& conn, end_cause cause, reason limit) const
+void http_server::report_end(const server_connection& conn, end_cause cause, reason limit) const
 {
-    if (!observer_)
-        return;
-    connection_end end{cause, limit};
-    if (conn.in_handler)
-        end.stage = request_stage::in_work;
-    else if (!conn.complete.empty())
-        end.stage = request_stage::complete;
-    else if (conn.scanner.receiving())
-        end.stage = request_stage::partial;
-    end.unread_bytes = unread_bytes(conn.socket.get());
-    end.unacknowledged_bytes = unacknowledged_bytes(conn.socket.get());
-    end.unused = boot_clock::now() - conn.last_used;
-    observer_(end);
+    if (observer_)
+        observer_(conn.describe_end(cause, limit, boot_clock::now()));
 }
 
-void http_server::on_bytes(connection& conn, std::string_view bytes)
+void http_server::on_bytes(server_connection& conn, std::string_view bytes)
 {
     conn.last_used = boot_clock::now();
     if (!conn.receiving_since)
@@ -244,7 +179,7 @@
     enforce_budget(conn);
 }
 
-void http_server::update_charge(connection& conn)
+void http_server::update_charge(server_connection& conn)
 {
     std::size_t bytes = 0;
     bool first = true;
@@ -259,36 +194,36 @@
     budget_.charge(conn.number, bytes, !conn.in_handler && !conn.body_refused);
 }
 
-void http_server::enforce_budget(const connection& current)
+void http_server::enforce_budget(const server_connection& current)
 {
     while (const auto victim = budget_.victim(current.number))
         refuse_request(*by_number_.at(victim), reason::request_memory);
 }
 
-void http_server::refuse_request(connection& conn, reason why)
+void http_server::refuse_request(server_connection& conn, reason why)
 {
     report_end(conn, end_cause::refusal, why);
     budget_.refuse(conn.number);
     const auto response = refuse_(why);
     const bool expects_response = why != reason::idle_timeout && !conn.in_handler;
     if (expects_response && !certificate_)
-        write_raw(conn.socket.get(), response);
-    end_connection(conn);
+        write_raw_response(conn.socket.get(), response);
+    conn.end();
 }
 
 void http_server::refuse_connection(GSocket* socket)
 {
     const auto response = refuse_(reason::too_many_connections);
     if (!certificate_)
-        write_raw(socket, response);
+        write_raw_response(socket, response);
 }
 
-http_server::connection* http_server::find(SoupServerMessage* message)
+server_connection* http_server::find(SoupServerMessage* message)
 {
     auto* remote = soup_server_message_get_remote_address(message);
     if (remote == nullptr)
         return nullptr;
-    return static_cast<connection*>(g_object_get_data(G_OBJECT(remote), connection_key));
+    return static_cast<server_connection*>(g_object_get_data(G_OBJECT(remote), connection_key));
 }
 
 void http_server::on_headers_read(SoupServer* /*server*/, SoupServerMessage* message,
@@ -396,29 +331,23 @@
         if (conn->state->ended || !conn->unused())
             continue;
         report_end(*conn, end_cause::stop);
-        end_connection(*conn);
+        conn->end();
     }
 }
 
-void http_server::end_connection(connection& conn)
-{
-    conn.state->ended = true;
-    // libsoup then reads the end of the stream and closes the connection.
-    g_socket_shutdown(conn.socket.get(), TRUE, TRUE, nullptr);
-}
-
 void http_server::sweep()
 {
     const auto now = boot_clock::now();
-    std::vector<connection*> slow;
-    std::vector<connection*> idle;
+    std::vector<server_connection*> slow;
+    std::vector<server_connection*> idle;
     std::vector<std::shared_ptr<http_exchange>> disconnected;
     for (auto* conn : connections_) {
         if (conn->state->ended)
             continue;
-        if (exceeds_idle_timeout(*conn, now))
+        if (conn->exceeds_idle_timeout(limits_.idle_timeout, now))
             idle.push_back(conn);
-        else if (exceeds_request_timeout(*conn, now))
+        else if (conn->exceeds_request_timeout(limits_.request_timeout,
+                                               limits_.request_timeout + sweep_interval, now))
             slow.push_back(conn);
         else if (auto waiting = conn->exchange.lock(); conn->in_handler && waiting &&
                                                        !waiting->answered() &&
@@ -433,34 +362,4 @@
         refuse_request(*conn, reason::idle_timeout);
 }
 
-bool http_server::exceeds_idle_timeout(const connection& conn, time_point now) const
-{
-    if (limits_.idle_timeout == duration{} || conn.idle_timeout == duration{})
-        return false;
-    // A shorter timeout applies from the connection's next response on. Otherwise a change would
-    // close many connections in one moment, some of them beside a request that is on its way.
-    const auto limit = std::max(limits_.idle_timeout, conn.idle_timeout);
-    if (now - conn.last_used <= limit)
-        return false;
-    return conn.between_requests() || untaken_for(conn, now) > limit;
-}
-
-duration http_server::untaken_for(const connection& conn, time_point now)
-{
-    const auto exchange = conn.exchange.lock();
-    return conn.in_handler && exchange && exchange->answered() ? now - exchange->answered_at()
-                                                               : duration{};
-}
-
-bool http_server::exceeds_request_timeout(const connection& conn, time_point now) const
-{
-    if (conn.in_handler || !conn.receiving_since)
-        return false;
-    const auto elapsed = now - *conn.receiving_since;
-    // If the process did not run for a while, the rest of the request may be in the socket.
-    const bool rest_may_have_arrived = unread_bytes(conn.socket.get()) > 0;
-    return elapsed >
-           limits_.request_timeout + (rest_may_have_arrived ? sweep_interval : duration{});
-}
-
 } // namespace chivewharf::runtime
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -43,6 +43,8 @@
     std::string key;
 };
 
+struct server_connection;
+
 /// HTTP/1.1 server based on libsoup. It accepts connections itself, because soup_server_listen()
 /// uses a backlog of 10 and limits neither the number of connections nor the time that a request
 /// takes to arrive.
@@ -85,8 +87,6 @@
     std::size_t busy_connections() const;
 
 private:
-    struct connection;
-
     static gboolean accept_ready(GSocket* socket, GIOCondition condition, gpointer self);
     static void on_headers_read(SoupServer* server, SoupServerMessage* message, const char* path,
                                 GHashTable* query, gpointer self);
@@ -97,21 +97,16 @@
     static void request_finished(SoupServer* server, SoupServerMessage* message, gpointer self);
     static void connection_closed(gpointer record, GObject* where);
 
-    void report_end(const connection& conn, end_cause cause, reason limit = reason::none) const;
+    void report_end(const server_connection& conn, end_cause cause,
+                    reason limit = reason::none) const;
     /// Scans bytes that a connection has received, and refuses requests that exceed a limit.
-    void on_bytes(connection& conn, std::string_view bytes);
-    void update_charge(connection& conn);
+    void on_bytes(server_connection& conn, std::string_view bytes);
+    void update_charge(server_connection& conn);
     /// Refuses the connections chosen by `request_budget::victim` until it returns none.
-    void enforce_budget(const connection& current);
+    void enforce_budget(const server_connection& current);
     /// Ends the connection. Sends the response for the reason first, except over TLS, to an idle
     /// connection that has timed out, and while a request is being handled.
-    void refuse_request(connection& conn, reason why);
-    static void end_connection(connection& conn);
-    /// True if the caller has not used the connection, or not read its response, for too long.
-    bool exceeds_idle_timeout(const connection& conn, time_point now) const;
-    /// Time for which a response has not been read by its caller completely; 0 if there is none.
-    static duration untaken_for(const connection& conn, time_point now);
-    bool exceeds_request_timeout(const connection& conn, time_point now) const;
+    void refuse_request(server_connection& conn, reason why);
 
     void accept(gobject_ptr<GSocket> socket);
     void refuse_connection(GSocket* socket);
@@ -120,7 +115,7 @@
     /// connections that exceed `idle_timeout`.
     void sweep();
     /// Connection of a message; null if it is unknown.
-    static connection* find(SoupServerMessage* message);
+    static server_connection* find(SoupServerMessage* message);
 
     http_limits limits_;
     handler handler_;
@@ -130,9 +125,9 @@
     gobject_ptr<GSocket> listener_;
     gobject_ptr<GTlsCertificate> certificate_;
     GSource* accept_source_ = nullptr;
-    std::unordered_set<connection*> connections_;
+    std::unordered_set<server_connection*> connections_;
     request_budget budget_;
-    std::unordered_map<std::uint64_t, connection*> by_number_; ///< by number in the budget
+    std::unordered_map<std::uint64_t, server_connection*> by_number_; ///< by number in the budget
     timer sweep_timer_;
 };
 
