Keep a connection open at a stop until a request can have arrived

Callers saw connections end without a response at a planned stop although no request was open.

Cause: close_idle() runs every 20 ms and closed each connection on which nothing had arrived, also one that had just been accepted and whose first request was still on its way. The process itself ended with such connections, and connections that waited in the listener's queue were lost with it.

A connection is unused only if nothing has happened on it for half a second. stop_listening() lets a host accept what waits and refuse later connections while it answers the rest.

--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -9,6 +9,7 @@
 #include <runtime/request_stream.h>
 #include <runtime/server_connection.h>
 #include <runtime/socket_state.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace chivewharf::runtime {
@@ -50,10 +51,7 @@
 
 http_server::~http_server()
 {
-    if (accept_source_ != nullptr) {
-        g_source_destroy(accept_source_);
-        g_source_unref(accept_source_);
-    }
+    destroy_accept_source();
     g_signal_handlers_disconnect_by_data(server_.get(), this);
     for (auto* conn : connections_) {
         if (!conn->state->ended)
@@ -297,9 +295,11 @@
 
 std::size_t http_server::busy_connections() const
 {
+    const auto now = boot_clock::now();
     return static_cast<std::size_t>(
-        std::count_if(connections_.begin(), connections_.end(),
-                      [](const auto* conn) { return !conn->state->ended && !conn->unused(); }));
+        std::count_if(connections_.begin(), connections_.end(), [now](const auto* conn) {
+            return !conn->state->ended && !conn->unused(now);
+        }));
 }
 
 void http_server::handle(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
@@ -327,14 +327,35 @@
 
 void http_server::close_idle()
 {
+    const auto now = boot_clock::now();
     for (auto* conn : connections_) {
-        if (conn->state->ended || !conn->unused())
+        if (conn->state->ended || !conn->unused(now))
             continue;
         report_end(*conn, end_cause::stop);
         conn->end();
     }
 }
 
+void http_server::stop_listening()
+{
+    if (accept_source_ == nullptr)
+        return;
+    accept_ready(listener_.get(), G_IO_IN, this);
+    destroy_accept_source();
+    // libsoup's own source for the listener finds it unusable and goes too. The descriptor stays
+    // open, so that its number is not used again while libsoup holds it.
+    shutdown(g_socket_get_fd(listener_.get()), SHUT_RDWR);
+}
+
+void http_server::destroy_accept_source()
+{
+    if (accept_source_ == nullptr)
+        return;
+    g_source_destroy(accept_source_);
+    g_source_unref(accept_source_);
+    accept_source_ = nullptr;
+}
+
 void http_server::sweep()
 {
     const auto now = boot_clock::now();
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -75,11 +75,14 @@
     /// Sets a function to call for each connection that the server ends, before it does.
     void on_connection_end(connection_observer observer) { observer_ = std::move(observer); }
 
-    /// Closes the connections that are unused: nothing of a request has arrived, and the caller has
-    /// received every response. May be called repeatedly. The server accepts further connections
-    /// until it is destroyed.
+    /// Closes the connections that are unused: nothing of a request has arrived, the caller has
+    /// received every response, and neither happened within the last half second. May be called
+    /// repeatedly.
     void close_idle();
 
+    /// Accepts the connections that wait, and refuses later ones.
+    void stop_listening();
+
     std::size_t open_connections() const noexcept { return connections_.size(); }
 
     /// Number of connections that are not unused in the sense of `close_idle`. If it is 0, nothing
@@ -109,6 +112,7 @@
     void refuse_request(server_connection& conn, reason why);
 
     void accept(gobject_ptr<GSocket> socket);
+    void destroy_accept_source();
     void refuse_connection(GSocket* socket);
     void refuse_body(SoupServerMessage* message);
     /// Ends exchanges whose caller has disconnected, requests that exceed `request_timeout` and
--- a/modules/runtime/server_connection.cpp
+++ b/modules/runtime/server_connection.cpp
@@ -5,15 +5,24 @@
 
 namespace chivewharf::runtime {
 
+namespace {
+
+/// A caller that has just connected, or received a response, is likely to send a request at once.
+/// It takes at least a round trip to arrive.
+constexpr duration min_rest = milliseconds{500};
+
+} // namespace
+
 bool server_connection::between_requests() const
 {
     return !in_handler && !state->receiving && complete.empty() && !scanner.receiving() &&
            unread_bytes(socket.get()) == 0;
 }
 
-bool server_connection::unused() const
+bool server_connection::unused(time_point now) const
 {
-    return between_requests() && unacknowledged_bytes(socket.get()) == 0;
+    return now - last_used >= min_rest && between_requests() &&
+           unacknowledged_bytes(socket.get()) == 0;
 }
 
 bool server_connection::exceeds_idle_timeout(duration current_timeout, time_point now) const
--- a/modules/runtime/server_connection.h
+++ b/modules/runtime/server_connection.h
@@ -37,9 +37,9 @@
     /// being written.
     bool between_requests() const;
 
-    /// True if the connection can be closed without loss: it is between two requests, and the
-    /// caller has received every response.
-    bool unused() const;
+    /// True if the connection can be closed without loss: it is between two requests, the caller
+    /// has received every response, and no request is likely to be on its way.
+    bool unused(time_point now) const;
 
     /// True if the caller has not used the connection, or not read its response, for too long.
     /// \param current_timeout timeout of the limits in force; 0 for none
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -203,6 +203,7 @@
     raw_socket waiting{port_};
     waiting.send(get);
     ASSERT_TRUE(run_until([this] { return open_.size() == 1; }));
+    ASSERT_TRUE(run_until([this] { return server_->busy_connections() == 1; }));
     server_->close_idle();
     ASSERT_TRUE(run_until([&idle] { return idle.ended; }));
     server_.reset();
@@ -264,6 +265,39 @@
     EXPECT_TRUE(receives(caller, "<2>")) << caller.received;
 }
 
+// Guards against a connection that is closed between its acceptance and the arrival of its first
+// request.
+TEST_F(http_server_test, keeps_a_new_connection_open_at_a_stop)
+{
+    start({});
+    raw_socket caller{port_};
+    ASSERT_TRUE(run_until([this] { return server_->open_connections() == 1; }));
+    EXPECT_EQ(server_->busy_connections(), 1U);
+    server_->close_idle();
+    caller.send(post("1"));
+    EXPECT_TRUE(receives(caller, "<1>")) << caller.received;
+    ASSERT_TRUE(run_until([this] { return server_->busy_connections() == 0; }));
+    server_->close_idle();
+    EXPECT_TRUE(run_until([&caller] { return caller.ended; }));
+}
+
+// Guards against requests that arrive while the process ends, and against a loop that spins on the
+// closed listener.
+TEST_F(http_server_test, refuses_connections_after_it_has_stopped_listening)
+{
+    start({});
+    raw_socket first{port_};
+    server_->stop_listening();
+    first.send(post("1"));
+    EXPECT_TRUE(receives(first, "<1>")) << first.received;
+    raw_socket second{port_};
+    EXPECT_TRUE(run_until([&second] { return second.ended; }));
+    EXPECT_EQ(server_->open_connections(), 1U);
+    int iterations = 0;
+    run_until([&iterations] { return ++iterations > 100; }, milliseconds{300});
+    EXPECT_LT(iterations, 50);
+}
+
 // The same for the idle timeout, after a time in which the process did not run.
 TEST_F(http_server_test, answers_a_request_that_waits_in_the_socket_after_the_idle_timeout)
 {
