End peer links without a loss of queued messages

Callers saw: when the owner of their job ended its planned stop, the job's result could end with the process, and the caller waited until another host had run the job again.

Cause: the stop closed the links at once. That drops the messages that the socket has not taken yet, and with unread bytes in the socket it resets the connection, so that the peer also loses messages it has not read.

Change: `link_hub::finish` and `peer_link::finish` write what is queued, end the output, and close once the peer has closed. Messages that arrive meanwhile are dropped.

--- a/modules/daemon/link_hub.cpp
+++ b/modules/daemon/link_hub.cpp
@@ -56,6 +56,15 @@
         link->close("this host is stopping");
 }
 
+void link_hub::finish()
+{
+    finishing_ = true;
+    dial_timer_.cancel();
+    const auto open_links = links_;
+    for (const auto& link : open_links)
+        link->finish();
+}
+
 bool link_hub::linked_to(const std::string& address) const
 {
     const auto host = host_by_address_.find(address);
@@ -97,6 +106,8 @@
 void link_hub::open(runtime::gobject_ptr<GSocketConnection> connection, wire::link_side side,
                     const std::string& address)
 {
+    if (finishing_)
+        return;
     peer_link::event_handlers handlers{
         [this, address](const link_ptr& link) { link_ready(link, address); },
         [this](const link_ptr& link, const wire::message& message) {
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -39,6 +39,12 @@
     /// Sets addresses that are dialled in addition to the hosts that the core names.
     void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
+    /// Ends all links without a loss of queued messages, and opens no further ones.
+    void finish();
+
+    /// True once every link has closed after `finish`.
+    bool finished() const noexcept { return finishing_ && links_.empty(); }
+
     // runtime::supervised
     std::string name() const override { return "links"; }
     result<void, runtime::runtime_error>
@@ -77,6 +83,7 @@
         host_by_address_;            ///< host that answered at a dialled address
     std::set<std::string> dialling_; ///< addresses with a connection attempt in progress
     runtime::timer dial_timer_;
+    bool finishing_ = false;
 };
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -66,7 +66,7 @@
 
 void peer_link::send(const wire::message& message)
 {
-    if (closed_ || !write_error_.empty())
+    if (closed_ || finishing_ || !write_error_.empty())
         return;
     const auto frame = wire::encode(message);
     bytes_sent_ += frame.size();
@@ -119,6 +119,29 @@
     }
     if (std::exchange(write_blocked_, blocked) != blocked)
         runtime::socket_poller::instance().want_write(descriptor(), blocked);
+    if (finishing_ && !blocked)
+        end_output();
+}
+
+void peer_link::end_output()
+{
+    // An error means that the connection is broken; reading it reports that.
+    g_socket_shutdown(g_socket_connection_get_socket(connection_.get()), FALSE, TRUE, nullptr);
+}
+
+void peer_link::finish()
+{
+    if (closed_ || finishing_)
+        return;
+    if (!handshake_.done()) {
+        close("this host is stopping");
+        return;
+    }
+    // Closing the socket with unread bytes would reset the connection, and the peer would lose
+    // messages that it has not read yet.
+    finishing_ = true;
+    if (!write_blocked_)
+        end_output();
 }
 
 void peer_link::read_available()
@@ -158,7 +181,7 @@
 {
     const auto now = boot_clock::now();
     if (handshake_.done()) {
-        if (!std::holds_alternative<wire::ping>(message))
+        if (!finishing_ && !std::holds_alternative<wire::ping>(message))
             handlers_.received(shared_from_this(), std::move(message));
         return true;
     }
--- a/modules/daemon/peer_link.h
+++ b/modules/daemon/peer_link.h
@@ -44,7 +44,13 @@
     /// Queues a message. The link closes when more than 8 MiB wait to be written.
     void send(const wire::message& message);
 
-    /// Closes the link. Calls the handler `closed`, unless the link was closed before.
+    /// Ends the link without a loss of queued messages: writes them, ends the output, and closes
+    /// once the other end has closed. Messages that arrive meanwhile are dropped, and further ones
+    /// are not sent. A link that is not ready is closed at once.
+    void finish();
+
+    /// Closes the link. Calls the handler `closed`, unless the link was closed before. Queued
+    /// messages are dropped, and the peer may lose messages that were written before.
     void close(const std::string& cause);
 
     bool ready() const noexcept { return handshake_.done(); }
@@ -68,6 +74,7 @@
     void socket_ready(bool readable, bool writable);
     void read_available();
     void write_queued();
+    void end_output();
     void process_messages();
     /// \return false if the message closed the link
     bool process_message(wire::message message);
@@ -91,6 +98,7 @@
     time_point last_received_;
     std::uint64_t bytes_sent_ = 0;
     bool closed_ = false;
+    bool finishing_ = false;
     bool write_blocked_ = false;
     bool keepalive_active_ = false;
 };
