Answer every open request before a planned stop ends

Cause: at `drain_ms` the process quit, whatever was open. Jobs with longer deadlines and jobs that arrived late were open then. Owners were told nothing either, so that tasks ran on until their leases were over.

Change: the stop sets a time, 300 ms before `drain_ms`, by which the router has answered every job, known or new. What is open then is answered as `not_run` (503) if no owner ever had it, else as `lost` (504), and its owner is told to cancel it. A job that has surely not run and cannot end by then, by the critical path of its estimates, is refused at once; others are served. 100 ms before `drain_ms`, or when the host is idle, the shards that are left are given up with a message to the requesters, the links are ended in order, and the process ends when callers and hosts have received everything, at the latest at `drain_ms`. The answers at the limit are counted under the reason `stop_limit`, the early refusals under `stopping`, and the line `stopped` has their numbers.

Why it works: all answers come from the job's own deadline, which already decides between `not_run` and `lost` by what is known of the owner.

--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -1,5 +1,6 @@
 #include <daemon/fleet_daemon.h>
 
+#include <algorithm>
 #include <base/log_line.h>
 #include <base/log_output.h>
 #include <base/rng.h>
@@ -15,6 +16,11 @@
 /// New connections may arrive for this long after the host has become unready: the load balancer
 /// probes once a second and removes a host after two failed probes.
 constexpr duration balancer_removal_delay = milliseconds{2200};
+/// Last part of a planned stop, in which open jobs have been answered, tasks of other hosts' jobs
+/// are stopped, and their requesters are told.
+constexpr duration response_margin = milliseconds{300};
+/// Last part of it, in which other hosts receive the messages that are still queued.
+constexpr duration peer_margin = milliseconds{100};
 
 std::string advertised_address(const settings::fleet_settings& settings)
 {
@@ -130,9 +136,13 @@
         log_line{"tick_late"}.add("late_ms", to_ms(late)).write();
     last_tick_ = now;
     metrics_.histogram("chivewharf_tick_late_seconds").observe(late);
+    if (closing_since_) {
+        check_closed(now);
+        return;
+    }
     core_->tick(now);
     if (stopping_)
-        check_stopped();
+        check_drained(now);
 }
 
 void fleet_daemon::on_stop_signal(int count)
@@ -146,11 +156,13 @@
     }
     stopping_ = true;
     stop_began_ = boot_clock::now();
+    stop_limit_ =
+        stop_began_ + std::max<duration>(milliseconds{settings_.drain_ms}, balancer_removal_delay);
     log_line{"stop_begins"}
         .add("open", std::uint64_t{adapters_.callers->pending_responses()})
         .write();
     adapters_.callers->begin_closing();
-    core_->leave(stop_began_);
+    core_->leave(stop_limit_ - response_margin, stop_began_);
 }
 
 void fleet_daemon::on_reload_signal()
@@ -163,19 +175,39 @@
     links_->set_seeds(settings_.seeds);
 }
 
-void fleet_daemon::check_stopped()
+void fleet_daemon::check_drained(time_point now)
 {
-    const auto elapsed = boot_clock::now() - stop_began_;
-    if (elapsed >= balancer_removal_delay)
-        adapters_.callers->close_idle();
+    // Before then, the load balancer may still send requests.
+    if (now - stop_began_ < balancer_removal_delay)
+        return;
+    adapters_.callers->close_idle();
     const bool idle = core_->drained() && adapters_.callers->pending_responses() == 0;
-    if (elapsed < balancer_removal_delay || (!idle && elapsed < milliseconds{settings_.drain_ms}))
+    if (idle || now >= stop_limit_ - peer_margin)
+        begin_closing(idle, now);
+}
+
+void fleet_daemon::begin_closing(bool idle, time_point now)
+{
+    closing_since_ = now;
+    ended_idle_ = idle;
+    core_->finish_leaving(now);
+    links_->finish();
+}
+
+void fleet_daemon::check_closed(time_point now)
+{
+    adapters_.callers->close_idle();
+    const bool peers_told = links_->finished() || now - *closing_since_ >= peer_margin;
+    const bool complete = peers_told && adapters_.callers->pending_responses() == 0;
+    if (!complete && now < stop_limit_)
         return;
+    const auto at_limit = core_->router().answered_at_limit();
     log_line{"stopped"}
-        .add("idle", idle ? "true" : "false")
+        .add("idle", ended_idle_ ? "true" : "false")
         .add("open", std::uint64_t{adapters_.callers->pending_responses()})
-        .add("jobs", std::uint64_t{core_->router().jobs()})
-        .add("drained", core_->drained() ? "true" : "false")
+        .add("not_run_at_limit", at_limit.not_run)
+        .add("lost_at_limit", at_limit.lost)
+        .add("peers_told", links_->finished() ? "true" : "false")
         .write();
     main_.quit(0);
 }
--- a/modules/daemon/fleet_daemon.h
+++ b/modules/daemon/fleet_daemon.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <metrics/registry.h>
+#include <optional>
 #include <runtime/http_server.h>
 #include <runtime/main_loop.h>
 #include <runtime/supervisor.h>
@@ -44,7 +45,12 @@
     void on_reload_signal();
     void connect_links();
     void tick();
-    void check_stopped();
+    /// Ends the work of a planned stop once nothing is open, or shortly before its limit.
+    void check_drained(time_point now);
+    /// Answers what is still open, and ends the links to other hosts.
+    void begin_closing(bool idle, time_point now);
+    /// Ends the process once callers and hosts have received everything, or at the stop's limit.
+    void check_closed(time_point now);
     bool start_metrics();
     std::string metrics_text();
 
@@ -62,6 +68,9 @@
     runtime::timer tick_timer_;
     time_point last_tick_{};
     time_point stop_began_{};
+    time_point stop_limit_{};                 ///< the process ends by then; valid if `stopping_`
+    std::optional<time_point> closing_since_; ///< when a planned stop ended its work
+    bool ended_idle_ = false;                 ///< nothing was open then
     bool stopping_ = false;
 };
 
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -935,9 +935,10 @@
     return !leaving_ && config_current(now) && !owners(now).empty();
 }
 
-void fleet_host::leave(time_point now)
+void fleet_host::leave(time_point end_by, time_point now)
 {
     leaving_ = true;
+    router_->end_by(end_by);
     leaving_since_ = now;
     log_line{"leaving"}
         .add("shards", std::uint64_t{owned_.size()})
@@ -946,6 +947,15 @@
     send_report(now);
 }
 
+void fleet_host::finish_leaving(time_point now)
+{
+    leaving_ = true;
+    router_->end_by(now);
+    router_->tick(now);
+    while (!owned_.empty())
+        yield(wire::shard{owned_.begin()->first}, now);
+}
+
 bool fleet_host::drained() const
 {
     return owned_.empty() && router_->jobs() == 0;
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -131,8 +131,12 @@
     bool config_current(time_point now) const { return config_.current(now); }
     const std::optional<cluster_config>& config() const noexcept { return config_.config(); }
 
-    /// Begins the planned shutdown: claims no further shards and hands over those that it owns.
-    void leave(time_point now);
+    /// Begins the planned stop: claims no further shards and hands over those that it owns.
+    /// \param end_by time at which the jobs that are still open are answered
+    void leave(time_point end_by, time_point now);
+    /// Ends the planned stop: answers the jobs that are still open, refuses those that still
+    /// arrive, and gives up the shards that it still owns. Call no `tick` afterwards.
+    void finish_leaving(time_point now);
     /// True once no shard is owned and all jobs have been answered.
     bool drained() const;
 
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <fleet/job_run.h>
 #include <fleet/report_schedule.h>
 #include <fleet/retry_schedule.h>
 #include <fleet/shard_owner.h>
@@ -87,6 +88,8 @@
     job.requests.push_back(request);
     job.arrived = now;
     job.deadline = now + milliseconds{order.remaining_ms};
+    if (end_by_)
+        job.deadline = std::min(job.deadline, *end_by_);
     job.order = std::move(order);
     auto& added = jobs_.emplace(id, std::move(job)).first->second;
     if (log_.should_log(id, now)) {
@@ -103,6 +106,8 @@
     }
     if (refused_by_drain(added))
         finish_drained(jobs_.find(id), now);
+    else if (refused_by_stop(added, now))
+        finish_stopping(jobs_.find(id), now);
     else
         dispatch(added, now);
 }
@@ -114,6 +119,27 @@
            retry_delay(drained_retry_wait, order.priority, order.job), now);
 }
 
+void job_router::end_by(time_point limit)
+{
+    end_by_ = limit;
+    for (auto& [id, job] : jobs_)
+        job.deadline = std::min(job.deadline, limit);
+}
+
+bool job_router::refused_by_stop(const routed_job& job, time_point now) const
+{
+    return end_by_ && job.state == job_state::unsent && !job.may_have_run &&
+           now + critical_path_estimate(job.order) >= *end_by_;
+}
+
+void job_router::finish_stopping(job_map::iterator job, time_point now)
+{
+    // Other hosts can take the job at once, so that the retry time only spreads the callers.
+    const auto& order = job->second.order;
+    finish(job, job_answer::not_run, "stopping",
+           retry_delay(min_retry_delay, order.priority, order.job), now);
+}
+
 bool job_router::safe_to_send(const routed_job& job, const owner_view& owner, time_point now) const
 {
     return !job.unsafe_owner || now > job.unsafe_until ||
@@ -427,6 +453,7 @@
     std::optional<std::vector<owner_view>> owners;
     std::vector<std::string> expired;
     std::vector<std::string> drained;
+    std::vector<std::string> stopping;
     for (auto& [id, job] : jobs_) {
         if (now >= job.deadline) {
             expired.push_back(id);
@@ -436,6 +463,10 @@
             drained.push_back(id);
             continue;
         }
+        if (refused_by_stop(job, now)) {
+            stopping.push_back(id);
+            continue;
+        }
         if (job.state == job_state::sent)
             continue;
         if (!owners)
@@ -452,17 +483,32 @@
         if (found != jobs_.end())
             finish_drained(found, now);
     }
+    for (const auto& id : stopping) {
+        const auto found = jobs_.find(id);
+        if (found != jobs_.end())
+            finish_stopping(found, now);
+    }
     for (const auto& id : expired) {
         const auto found = jobs_.find(id);
-        if (found == jobs_.end())
-            continue;
-        const auto& job = found->second;
-        const bool not_run = job.state == job_state::unsent && !job.may_have_run;
-        send_cancel(job, now);
-        const auto* reason = job.told_retry ? "overloaded" : "no_owner";
-        finish(found, not_run ? job_answer::not_run : job_answer::lost,
-               not_run ? reason : "deadline", job.told_retry.value_or(duration{0}), now);
+        if (found != jobs_.end())
+            finish_expired(found, now);
+    }
+}
+
+void job_router::finish_expired(job_map::iterator entry, time_point now)
+{
+    const auto& job = entry->second;
+    const bool not_run = job.state == job_state::unsent && !job.may_have_run;
+    send_cancel(job, now);
+    std::string_view reason = "deadline";
+    if (ended_by_stop(job, now)) {
+        reason = "stop_limit";
+        ++(not_run ? answered_at_limit_.not_run : answered_at_limit_.lost);
     }
+    else if (not_run)
+        reason = job.told_retry ? "overloaded" : "no_owner";
+    finish(entry, not_run ? job_answer::not_run : job_answer::lost, reason,
+           job.told_retry.value_or(duration{0}), now);
 }
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -63,6 +63,17 @@
         all_drained_ = all;
     }
 
+    /// Sets the time by which every job, known or new, is answered: at a planned stop. A job that
+    /// has not run and cannot end by then, by its estimate, is refused at once.
+    void end_by(time_point limit);
+
+    /// Answers given because a planned stop had no time left.
+    struct limit_answers {
+        std::uint64_t not_run = 0;
+        std::uint64_t lost = 0;
+    };
+    limit_answers answered_at_limit() const noexcept { return answered_at_limit_; }
+
     /// Sends jobs that wait for an owner, and ends those whose deadline has passed.
     void tick(time_point now);
 
@@ -125,6 +136,16 @@
         return all_drained_ && job.state != job_state::sent && !job.unsafe_owner;
     }
     void finish_drained(job_map::iterator job, time_point now);
+    /// True if the job has surely not run and cannot end before the planned stop does.
+    bool refused_by_stop(const routed_job& job, time_point now) const;
+    void finish_stopping(job_map::iterator job, time_point now);
+    /// Answers a job that has no time left.
+    void finish_expired(job_map::iterator job, time_point now);
+    /// True if the job's time was over because of the planned stop.
+    bool ended_by_stop(const routed_job& job, time_point now) const
+    {
+        return end_by_ && now >= *end_by_ && job.deadline >= *end_by_;
+    }
     void send_to(routed_job& job, const owner_view& owner, time_point now);
     void on_refusal(job_map::iterator job, wire::job_end reason, duration retry_after,
                     time_point now);
@@ -149,6 +170,8 @@
     int deferral_depth_ = 0;
     std::set<std::string> drained_domains_;
     bool all_drained_ = false;
+    std::optional<time_point> end_by_; ///< none unless a planned stop has begun
+    limit_answers answered_at_limit_;
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/job_run.cpp
+++ b/modules/fleet/job_run.cpp
@@ -68,11 +68,11 @@
                        [](const step_run& step) { return step.active > 0; });
 }
 
-duration job_run::critical_path_estimate() const
+duration critical_path_estimate(const wire::job_order& order)
 {
-    std::vector<duration> end(steps.size());
+    std::vector<duration> end(order.steps.size());
     duration longest{0};
-    for (std::size_t i = 0; i < steps.size(); ++i) {
+    for (std::size_t i = 0; i < order.steps.size(); ++i) {
         duration begin{0};
         for (const auto dependency : order.steps[i].depends_on)
             begin = std::max(begin, end[dependency]);
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -30,6 +30,10 @@
     std::uint32_t active = 0;
 };
 
+/// Length of the job's critical path, the longest chain of dependent steps, by the caller's
+/// estimates.
+duration critical_path_estimate(const wire::job_order& order);
+
 /// Position of a task within its job.
 struct task_position {
     std::size_t step = 0;
@@ -51,9 +55,7 @@
     bool completed() const noexcept;
     bool any_active() const noexcept;
 
-    /// Length of the critical path, the longest chain of dependent steps, by the caller's
-    /// estimates.
-    duration critical_path_estimate() const;
+    duration critical_path_estimate() const { return fleet::critical_path_estimate(order); }
 
     /// Estimated processor time of all waiting tasks, in thousandths of a core times milliseconds.
     std::uint64_t waiting_work() const;
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -512,11 +512,18 @@
     return found == domain_starts_.end() ? 0 : found->second;
 }
 
-void fleet_simulation::stop(const std::string& name)
+void fleet_simulation::stop(const std::string& name, duration time)
 {
     auto& host = *hosts_.at(name);
     if (host.alive && !host.frozen)
-        host.core->leave(now_);
+        host.core->leave(now_ + time, now_);
+}
+
+void fleet_simulation::finish_stop(const std::string& name)
+{
+    hosts_.at(name)->core->finish_leaving(now_);
+    // The last messages arrive before the links are lost.
+    at(2 * network_delay, [this, name] { kill(name); });
 }
 
 void fleet_simulation::store_up(const std::string& host, bool up)
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -82,7 +82,11 @@
     /// An operator requests or removes the drain of a domain. A start in a drained domain is a
     /// violation once the request is older than `drain_limit`.
     void drain(const std::string& domain, bool drained);
-    void stop(const std::string& host);
+    /// Begins a planned stop.
+    /// \param time until open jobs are answered; the process runs on until `kill`
+    void stop(const std::string& host, duration time = milliseconds{5300});
+    /// Ends a planned stop: the process gives up what it still has, and ends.
+    void finish_stop(const std::string& host);
 
     fleet_host* host(const std::string& name);
     sim_worker& worker(const std::string& id) { return workers_.at(id); }
