Stop the tasks of a leaving owner before its process ends

Callers of other hosts saw: jobs that took seconds longer, or were lost, when the owner that ran their tasks reached the limit of its planned stop. Such hosts log `stopped idle=false open=0`: no own request is open, but a shard is not released, since tasks of other hosts' jobs still run there.

Cause: the tasks end with the process's leases in any case. Until then, the requesters wait for a takeover or for the lost owner's time limit, because the tasks may still run.

Change: at the time by which the stop's jobs are answered, the owner stops the tasks that still run. Each job ends as `interrupted` once none of its tasks is active, which lets its requester send it to another owner at once, and each worker is released to the successor.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -910,6 +910,7 @@
         owned.owner->tick(now);
     hand_over(now);
     router_->tick(now);
+    interrupt_shards(now);
     send_due_reports(now);
 }
 
@@ -938,6 +939,7 @@
 void fleet_host::leave(time_point end_by, time_point now)
 {
     leaving_ = true;
+    end_by_ = end_by;
     router_->end_by(end_by);
     leaving_since_ = now;
     log_line{"leaving"}
@@ -947,9 +949,24 @@
     send_report(now);
 }
 
+void fleet_host::interrupt_shards(time_point now)
+{
+    if (!leaving_ || now < end_by_)
+        return;
+    for (auto& [shard, owned] : owned_) {
+        const auto stopped = owned.owner->interrupt(now);
+        if (stopped > 0)
+            log_line{"tasks_interrupted"}
+                .add("shard", to_text(shard))
+                .add("tasks", std::uint64_t{stopped})
+                .write();
+    }
+}
+
 void fleet_host::finish_leaving(time_point now)
 {
     leaving_ = true;
+    end_by_ = now;
     router_->end_by(now);
     router_->tick(now);
     while (!owned_.empty())
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -132,7 +132,8 @@
     const std::optional<cluster_config>& config() const noexcept { return config_.config(); }
 
     /// Begins the planned stop: claims no further shards and hands over those that it owns.
-    /// \param end_by time at which the jobs that are still open are answered
+    /// \param end_by time at which the jobs that are still open are answered, and the tasks that
+    ///        still run at its shards are stopped so that their requesters send the jobs elsewhere
     void leave(time_point end_by, time_point now);
     /// Ends the planned stop: answers the jobs that are still open, refuses those that still
     /// arrive, and gives up the shards that it still owns. Call no `tick` afterwards.
@@ -211,6 +212,8 @@
     /// The requester has given the job up: ends it at the shards that this host owns.
     void withdraw_owned(const std::string& job, const std::string& requester, time_point now);
     void hand_over(time_point now);
+    /// Stops the tasks at the owned shards once the time of the planned stop is over.
+    void interrupt_shards(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent_hosts(time_point now);
     /// After a pause of this process, closes the links to hosts that share jobs with it.
@@ -248,6 +251,7 @@
     std::uint64_t worker_revision_ = 0;      ///< of the last list that an owner was given
     std::uint64_t worker_lists_changed_ = 0; ///< last revision that changed an owner's workers
     time_point leaving_since_{};
+    time_point end_by_{}; ///< end of the planned stop's work; valid if `leaving_`
     time_point next_claim_check_{};
     time_point last_tick_{};
     bool workers_complete_ = false;
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -841,6 +841,22 @@
     }
 }
 
+std::size_t shard_owner::interrupt(time_point now)
+{
+    if (!leaving_)
+        leave(now);
+    std::size_t stopped = 0;
+    for (auto& [id, worker] : workers_) {
+        for (const auto& [name, tracked] : worker.session->tasks()) {
+            if (tracked.stop_ordered)
+                continue;
+            worker.session->stop(std::string{name}, now);
+            ++stopped;
+        }
+    }
+    return stopped;
+}
+
 bool shard_owner::released() const
 {
     return leaving_ && std::all_of(workers_.begin(), workers_.end(),
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -103,6 +103,10 @@
     /// Begins the hand-over: starts no new tasks and releases each worker once no task runs on it.
     void leave(time_point now);
 
+    /// Leaves and stops all tasks. Jobs end as `interrupted` once none of their tasks is active.
+    /// \return the number of tasks whose stop was ordered now
+    std::size_t interrupt(time_point now);
+
     /// Sets the part of the workers' capacity that may be in use. 0 drains the shard: nothing is
     /// started, jobs that have not started are given back, and started jobs that need further
     /// starts end as `interrupted` once none of their tasks is active. Tasks that are active are
--- a/modules/fleet/tests/planned_stop_test.cpp
+++ b/modules/fleet/tests/planned_stop_test.cpp
@@ -154,6 +154,35 @@
     EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
 }
 
+// Guards against the callers of other hosts, who wait until a lease is over, or longer, for a job
+// whose owner has ended with their tasks running.
+TEST(planned_stop, owner_gives_back_the_jobs_of_other_hosts_before_it_ends)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        fleet_simulation::options options;
+        options.seed = seed;
+        fleet_simulation simulation{options};
+        simulation.run_for(seconds{3});
+        const auto owner = owner_of_first_domain(simulation);
+        const auto requester = host_without_shard(simulation);
+        for (int i = 0; i < 6; ++i)
+            simulation.submit("j" + std::to_string(i), requester, {step(4000, 2)}, long_limit);
+        simulation.run_for(milliseconds{500});
+        const auto former = simulation.starts();
+        simulation.stop(owner, stop_time);
+        simulation.run_for(stop_time + closing_time);
+        EXPECT_TRUE(simulation.host(owner)->drained()) << "seed " << seed;
+        EXPECT_TRUE(simulation.claims(owner).empty()) << "seed " << seed;
+        simulation.finish_stop(owner);
+        simulation.run_for(milliseconds{300});
+        EXPECT_GT(simulation.starts(), former) << "seed " << seed;
+        simulation.run_for(seconds{20});
+        for (const auto& [id, job] : simulation.jobs())
+            EXPECT_EQ(answers_of(simulation, id), "completed") << id << ", seed " << seed;
+        EXPECT_EQ(simulation.violations(), std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
 // Guards against an owner that ends without a word to its requesters because a worker does not
 // report the end of a stopped task.
 TEST(planned_stop, owner_tells_of_jobs_that_it_cannot_end)
