Stop listening before a planned stop ends

Callers saw connections end without a response when a host reached the end of its planned stop, because it accepted connections until then and had no time left to read their requests.

A host now accepts what waits and refuses later connections 0.8 s before the limit of the stop, or when nothing is open. It stays until the requests on the last connections are answered. The new test fails without the call.

--- a/modules/daemon/caller_front.h
+++ b/modules/daemon/caller_front.h
@@ -18,6 +18,9 @@
     /// with its next response.
     virtual void begin_closing() = 0;
 
+    /// Refuses further connections. May be called repeatedly.
+    virtual void stop_listening() = 0;
+
     /// Closes the connections that are unused. May be called repeatedly.
     virtual void close_idle() = 0;
 
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -16,7 +16,10 @@
 /// New connections may arrive for this long after the host has become unready: the load balancer
 /// probes once a second and removes a host after two failed probes.
 constexpr duration balancer_removal_delay = milliseconds{2200};
-/// Last part of a planned stop, in which open jobs have been answered, tasks of other hosts' jobs
+/// Last part of a planned stop, in which no connections are accepted. Requests on those accepted
+/// before are still answered.
+constexpr duration listen_margin = milliseconds{800};
+/// Last part of it, in which open jobs have been answered, tasks of other hosts' jobs
 /// are stopped, and their requesters are told.
 constexpr duration response_margin = milliseconds{300};
 /// Last part of it, in which other hosts receive the messages that are still queued.
@@ -181,6 +184,8 @@
     if (now - stop_began_ < balancer_removal_delay)
         return;
     adapters_.callers->close_idle();
+    if (now >= stop_limit_ - listen_margin)
+        adapters_.callers->stop_listening();
     const bool idle = core_->drained() && adapters_.callers->pending_responses() == 0;
     if (idle || now >= stop_limit_ - peer_margin)
         begin_closing(idle, now);
@@ -190,6 +195,7 @@
 {
     closing_since_ = now;
     ended_idle_ = idle;
+    adapters_.callers->stop_listening();
     core_->finish_leaving(now);
     links_->finish();
 }
--- a/modules/daemon/tests/fleet_daemon_test.cpp
+++ b/modules/daemon/tests/fleet_daemon_test.cpp
@@ -32,6 +32,7 @@
 /// What the callers of a host have seen. It outlives the host.
 struct caller_record {
     std::vector<fleet::job_answer> answers;
+    bool listening = true;
     std::size_t unwritten = 0;             ///< responses that the callers have not received
     std::size_t unwritten_at_stop = 0;     ///< the same when the front end was stopped
     std::optional<duration> write_time;    ///< of a response; none if callers do not read
@@ -49,6 +50,7 @@
         if (record_.begin_closing)
             record_.begin_closing();
     }
+    void stop_listening() override { record_.listening = false; }
     void close_idle() override {}
     std::size_t pending_responses() const override { return open_ + record_.unwritten; }
     std::string name() const override { return "callers"; }
@@ -144,6 +146,18 @@
     EXPECT_EQ(record.unwritten_at_stop, 0U);
 }
 
+// Guards against connections that are accepted so late that their requests are lost.
+TEST_F(stop_fixture, connections_are_refused_before_the_process_ends)
+{
+    bool listening_late = true;
+    record.begin_closing = [this, &listening_late] {
+        after(milliseconds{settings.drain_ms - 250},
+              [this, &listening_late] { listening_late = record.listening; });
+    };
+    EXPECT_EQ(run_and_stop(), 0);
+    EXPECT_FALSE(listening_late);
+}
+
 // Guards against a stop that never ends because a caller does not read its response.
 TEST_F(stop_fixture, caller_that_does_not_read_cannot_hold_the_stop)
 {
