Soak with planned work only, failing

Callers saw requests end without a response beside stops and configuration changes. The soak could not show it: it compares no request with its response, its callers take only running hosts, its configurations keep their limits, and failures occur all the time.

--- a/testing/fleet_soak/callers.cpp
+++ b/testing/fleet_soak/callers.cpp
@@ -107,11 +107,8 @@
     const bool final =
         answered && (result.status == status_ok || result.status == status_unavailable);
     if (answered && result.status == status_unavailable && ++job.refusals == job.attempts &&
-        !job.left) {
-        job.refused = boot_clock::now();
-        if (job.started)
-            evidence_.violation("job " + id + " was refused as not run and has run");
-    }
+        !job.left)
+        evidence_.refused_as_not_run(id);
     if (!final && !job.left && job.attempts < max_attempts) {
         after(retry_delay, [this, id] { attempt(id); });
         return;
--- a/testing/fleet_soak/cluster.cpp
+++ b/testing/fleet_soak/cluster.cpp
@@ -118,27 +118,52 @@
         processes_.start(host);
 }
 
-void cluster::publish()
+void cluster::publish(const caller_config& callers)
 {
     ++version_;
     json routes = json::array();
-    for (int host = 0; host < host_count; ++host)
-        routes.push_back({{"name", "checks-" + std::to_string(host)},
-                          {"host", network_prefix_ + std::to_string(host + 1)},
-                          {"prefix", queue_path},
-                          {"service", "desk"},
-                          {"timeout_ms", 2000 + version_},
-                          {"priority", 0},
-                          {"max_attempts", 3},
-                          {"stretch", 1.6},
-                          {"target_latency_ms", 60}});
-    const json config{{"version", version_}, {"routes", routes}, {"services", json::array()}};
+    for (int host = 0; host < host_count; ++host) {
+        const auto add_route = [&](const std::string& name, const std::string& path) {
+            routes.push_back(
+                {{"name", name},
+                 {"host", network_prefix_ + std::to_string(host + 1)},
+                 {"prefix", path},
+                 {"service", "desk"},
+                 {"timeout_ms", to_ms(callers.route_timeout) + static_cast<std::int64_t>(version_)},
+                 {"priority", 0},
+                 {"max_attempts", 3},
+                 {"stretch", 1.6},
+                 {"target_latency_ms", 60}});
+        };
+        add_route("checks-" + std::to_string(host), queue_path);
+        for (unsigned i = 0; i < callers.extra_routes; ++i)
+            add_route("extra-" + std::to_string(i) + '-' + std::to_string(host),
+                      extra_queue_path(i));
+    }
+    json config{{"version", version_}, {"routes", routes}, {"services", json::array()}};
+    if (callers.idle_timeout)
+        config["limits"] = {{"idle_timeout_ms", to_ms(*callers.idle_timeout)}};
     store_.put("keyed.op", "config", config.dump());
 }
 
+std::string cluster::extra_queue_path(unsigned number)
+{
+    return "/extra-" + std::to_string(number) + '/';
+}
+
+std::string cluster::caller_address(int host) const
+{
+    return endpoint(host + 1, caller_port);
+}
+
 std::string cluster::caller_url(int host) const
 {
-    return "http://" + endpoint(host + 1, caller_port) + queue_path;
+    return "http://" + caller_address(host) + queue_path;
+}
+
+std::string cluster::readiness_url(int host) const
+{
+    return "http://" + endpoint(host + 1, ready_port) + "/readiness";
 }
 
 std::string cluster::metrics_url(int host) const
--- a/testing/fleet_soak/cluster.h
+++ b/testing/fleet_soak/cluster.h
@@ -3,6 +3,7 @@
 #include "store.h"
 #include "workers.h"
 
+#include <optional>
 #include <string>
 #include <testing/support/process_group.h>
 #include <testing/support/relay.h>
@@ -15,6 +16,13 @@
 inline constexpr const char* domain_names[] = {"north", "east", "west"};
 inline constexpr int domain_of_host[host_count] = {0, 0, 0, 1, 1, 2, 2};
 
+/// The parts of a configuration that planned work changes.
+struct caller_config {
+    std::optional<duration> idle_timeout; ///< of callers' connections; the default if empty
+    duration route_timeout = seconds{2};
+    unsigned extra_routes = 0; ///< queues of each host beside the one that is always there
+};
+
 /// The cluster under test. The entry hosts are processes; the store, the workers and the relay
 /// between them run in this process.
 class cluster {
@@ -27,12 +35,18 @@
 
     void start_hosts();
     /// Publishes the next version of the configuration.
-    void publish();
+    void publish(const caller_config& callers = {});
     std::uint64_t version() const noexcept { return version_; }
 
     /// Path of the queue that every host serves.
     static constexpr const char* queue_path = "/checks/";
+    static constexpr unsigned max_extra_routes = 3;
+    /// Path of a queue that only some configurations have.
+    static std::string extra_queue_path(unsigned number);
+    /// `IP:PORT` at which a host accepts callers' requests.
+    std::string caller_address(int host) const;
     std::string caller_url(int host) const;
+    std::string readiness_url(int host) const;
     std::string metrics_url(int host) const;
 
     std::vector<testing_support::child>& hosts() { return hosts_; }
--- a/testing/fleet_soak/evidence.h
+++ b/testing/fleet_soak/evidence.h
@@ -25,8 +25,8 @@
 /// What the run has observed, including the violations that make it fail.
 struct evidence {
     std::map<std::string, caller_job> jobs;
-    std::map<std::string, std::uint64_t> outcomes; ///< number of attempts by outcome
-    std::map<std::string, std::uint64_t> faults;   ///< number of injections by name
+    std::map<std::string, std::uint64_t> outcomes;   ///< number of attempts by outcome
+    std::map<std::string, std::uint64_t> injections; ///< faults and planned work by name
     std::vector<std::string> violations;
     std::uint64_t starts = 0;
     time_point started_at = boot_clock::now();
@@ -37,6 +37,16 @@
         violations.push_back(std::to_string(to_ms(boot_clock::now() - started_at)) +
                              " ms: " + text);
     }
+
+    /// Records that the last attempt of a job was refused as not run. The job must not have
+    /// started, and must not start later.
+    void refused_as_not_run(const std::string& id)
+    {
+        auto& job = jobs.at(id);
+        job.refused = boot_clock::now();
+        if (job.started)
+            violation("job " + id + " was refused as not run and has run");
+    }
 };
 
 } // namespace chivewharf::fleet_soak
--- a/testing/fleet_soak/faults.cpp
+++ b/testing/fleet_soak/faults.cpp
@@ -89,7 +89,7 @@
     const auto end = (this->*kinds.at(name))();
     if (!end)
         return;
-    ++evidence_.faults[name];
+    ++evidence_.injections[name];
     ++active_;
     after(random_length(), [this, end] {
         --active_;
