Tell a lost result again instead of running its job again

An owner forgot a job as soon as it had handed the result to the link. If the link ended before the receiver had read the result, as it does after each pause of the receiver's process, the receiver sent the job again, and the owner started it from the beginning. Its caller got the answer a whole run later, or not before its deadline.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include <fleet/decaying_sum.h>
 #include <fleet/demand_profile.h>
 #include <fleet/drain_state.h>
+#include <fleet/finished_jobs.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_queue.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -276,6 +276,10 @@
         peers_.send(from, wire::job_cancel{order.job, 0});
         return;
     }
+    if (const auto end = finished_.find(order.job, now)) {
+        send_result(from, {order.job, order.attempt, *end, 0}, now);
+        return;
+    }
     const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
         // A sender that does not know all workers yet is told of them before the answer.
@@ -289,11 +293,16 @@
         found->second.owner->submit(order, from, now, remote);
         return;
     }
-    const wire::job_result refusal{order.job, order.attempt, wire::job_end::not_owner, 0};
-    if (from == self_.host)
-        router_->result(from, refusal, now);
+    send_result(from, {order.job, order.attempt, wire::job_end::not_owner, 0}, now);
+}
+
+void fleet_host::send_result(const std::string& host, const wire::job_result& result,
+                             time_point now)
+{
+    if (host == self_.host)
+        router_->result(host, result, now);
     else
-        peers_.send(from, refusal);
+        peers_.send(host, result);
 }
 
 void fleet_host::handle_report(const std::string& from, const wire::host_report& report,
@@ -601,10 +610,8 @@
     shard_owner::callbacks callbacks;
     callbacks.result = [this](const std::string& host, const wire::job_result& result,
                               time_point at) {
-        if (host == self_.host)
-            router_->result(host, result, at);
-        else
-            peers_.send(host, result);
+        finished_.add(result.job, result.end, at);
+        send_result(host, result, at);
     };
     callbacks.fenced = [this, shard](time_point at) {
         const auto found = owned_.find(shard);
@@ -898,6 +905,7 @@
     drop_silent_hosts(now);
     directory_.expire(now);
     cancelled_.expire(now);
+    finished_.expire(now);
     update_workers(now);
     fetch_config(now);
     request_host_list(now);
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -9,6 +9,7 @@
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
 #include <fleet/drain_state.h>
+#include <fleet/finished_jobs.h>
 #include <fleet/host_directory.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
@@ -185,6 +186,8 @@
     std::uint64_t token(std::uint64_t epoch) const;
     void send_to_owner(const std::string& host, const wire::message& message, time_point now);
     void handle_order(const std::string& from, const wire::job_order& order, time_point now);
+    /// Sends a result to the host that waits for the job, which may be this one.
+    void send_result(const std::string& host, const wire::job_result& result, time_point now);
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
     class report_cache;
     /// Sends the report, with the lists of workers if the host does not have them yet.
@@ -228,6 +231,7 @@
     worker_directory workers_;
     claim_policy policy_;
     cancelled_jobs cancelled_;
+    finished_jobs finished_;
     std::unique_ptr<job_router> router_;
     shard_plan plan_;
     std::map<wire::shard, owned_shard> owned_;
--- a/modules/fleet/tests/histories_test.cpp
+++ b/modules/fleet/tests/histories_test.cpp
@@ -502,6 +502,45 @@
     EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"completed"});
 }
 
+// Guards against a job that runs a second time because its result was lost with the link: the owner
+// had forgotten the job when its sender, which was paused meanwhile, sent it again.
+TEST(fleet_histories, result_that_was_lost_with_its_link_is_sent_again)
+{
+    fleet_simulation simulation{{}};
+    simulation.run_for(seconds{3});
+    ASSERT_FALSE(simulation.claims("host-0-0").empty());
+    simulation.submit("a", "host-0-1", {step(2, 27000, 600)}, seconds{4});
+    simulation.run_for(milliseconds{300});
+    ASSERT_EQ(simulation.starts(), 2U);
+    simulation.freeze("host-0-1", true);
+    simulation.run_for(seconds{1});
+    simulation.freeze("host-0-1", false);
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.jobs().at("a").answers, std::vector<std::string>{"completed"});
+    EXPECT_EQ(simulation.starts(), 2U);
+    EXPECT_EQ(simulation.violations(), std::vector<std::string>{});
+}
+
+// Guards against a result that is forgotten while its job may be sent again, and against a memory
+// that grows with the number of jobs.
+TEST(finished_jobs, memory_is_bounded_in_time_and_number)
+{
+    finished_jobs jobs;
+    const time_point now{seconds{100}};
+    jobs.add("a", wire::job_end::failed, now);
+    jobs.add("again", wire::job_end::interrupted, now);
+    EXPECT_EQ(jobs.find("a", now + finished_jobs::retention), wire::job_end::failed);
+    EXPECT_FALSE(jobs.find("a", now + finished_jobs::retention + milliseconds{1}));
+    EXPECT_FALSE(jobs.find("again", now));
+    for (std::size_t i = 0; i < finished_jobs::max_jobs + 5; ++i)
+        jobs.add("j" + std::to_string(i), wire::job_end::completed, now + seconds{1});
+    EXPECT_EQ(jobs.size(), finished_jobs::max_jobs);
+    EXPECT_FALSE(jobs.find("a", now + seconds{1}));
+    EXPECT_EQ(jobs.find("j5", now + seconds{1}), wire::job_end::completed);
+    jobs.expire(now + seconds{2} + finished_jobs::retention);
+    EXPECT_EQ(jobs.size(), 0U);
+}
+
 /// The first host of the domain that owns a shard; empty if there is none.
 std::string owner_of(fleet_simulation& simulation, const std::string& domain)
 {
