Deliver what has arrived before a host closes a link

A host closed a link without reading its socket when it took the peer for silent or suspected, after each pause of its own process, when a newer link replaced the link, and after a failed write. Results that had arrived were lost: jobs and forwarded requests were sent again, and a task that was spilled to another domain counted as lost. The keepalive also took a peer for dead whose messages had arrived during a pause of this process.

The link now delivers what is in its socket before such a close, and a link on which anything was read is not closed as silent or idle. A job that is delivered after a pause is still not started before its sender has sent it again. check_timeouts keeps the link alive while it closes it.

Spilled tasks, failed writes, the idle check of peer_gateway and the access in check_timeouts were read in the code, not run.

--- a/modules/daemon/link_hub.cpp
+++ b/modules/daemon/link_hub.cpp
@@ -142,10 +142,14 @@
             link->close("another link to the host is in use");
             return;
         }
+        // Only messages of the link in use are passed on. Reading may close the link, which reports
+        // it as unlinked.
         const auto replaced = old->second;
-        links_by_host_.erase(old);
-        replaced->close("a newer link to the host is in use");
-        handlers_.unlinked(host);
+        replaced->deliver_unread();
+        if (links_by_host_.erase(host) > 0) {
+            replaced->close("a newer link to the host is in use");
+            handlers_.unlinked(host);
+        }
     }
     links_by_host_[host] = link;
     handlers_.linked(host, link->peer().domain, link->peer().incarnation);
@@ -188,7 +192,7 @@
     if (found == links_by_host_.end())
         return;
     const auto link = found->second;
-    link->close("the host is silent");
+    link->close_after_reading("the host is silent");
 }
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -47,6 +47,7 @@
 
     // fleet::peer_port
     void send(const std::string& host, const wire::message& message) override;
+    /// Delivers the messages that have arrived on the link, then closes it.
     void drop(const std::string& host) override;
 
 private:
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -149,7 +149,7 @@
     }
     const auto old = std::exchange(peer.link, link);
     if (old)
-        old->close("a newer link to the host is in use");
+        old->close_after_reading("a newer link to the host is in use");
     log_line{"peer_link_up"}.add("host", host).write();
     for (const auto& message : std::exchange(peer.queued, {}))
         link->send(message);
@@ -201,7 +201,7 @@
     if (found == peers_.end() || !found->second.link)
         return;
     const auto link = found->second.link;
-    link->close("the host is suspected");
+    link->close_after_reading("the host is suspected");
 }
 
 void peer_gateway::close_idle()
@@ -213,8 +213,10 @@
             !loop_.core().awaits(link->peer().host))
             idle.push_back(link);
     }
-    for (const auto& link : idle)
-        link->close("idle");
+    for (const auto& link : idle) {
+        if (!link->deliver_unread())
+            link->close("idle");
+    }
 }
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/peer_link.cpp
+++ b/modules/daemon/peer_link.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t read_bytes = 16384;
 constexpr std::size_t max_queued_bytes = 8U << 20U;
+/// Reads before a link is closed. Bounded, since the peer may send as fast as its messages are
+/// handled.
+constexpr std::size_t max_last_reads = max_queued_bytes / read_bytes;
 constexpr duration min_check_interval = milliseconds{50};
 constexpr duration max_check_interval = milliseconds{250};
 /// A host that expects no messages from the other end notices a loss of packets in one direction
@@ -121,7 +124,7 @@
         runtime::socket_poller::instance().want_write(descriptor(), blocked);
 }
 
-void peer_link::read_available()
+bool peer_link::read_available()
 {
     auto* socket = g_socket_connection_get_socket(connection_.get());
     GError* error = nullptr;
@@ -129,16 +132,35 @@
         g_socket_receive(socket, read_buffer_.data(), read_buffer_.size(), nullptr, &error);
     const runtime::gerror_ptr owner{error};
     if (size < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE)
-        return;
+        return false;
     if (size <= 0) {
         close(size == 0 ? "the peer closed the connection" : error->message);
-        return;
+        return false;
     }
     last_received_ = boot_clock::now();
     monitor_.on_received(last_received_);
     decoder_.feed({read_buffer_.data(), static_cast<std::size_t>(size)});
     const auto keep = shared_from_this();
     process_messages();
+    return !closed_;
+}
+
+bool peer_link::deliver_unread()
+{
+    const auto keep = shared_from_this();
+    const auto former = last_received_;
+    for (std::size_t reads = 0; reads < max_last_reads && !closed_; ++reads) {
+        if (!read_available())
+            break;
+    }
+    return last_received_ != former;
+}
+
+void peer_link::close_after_reading(const std::string& cause)
+{
+    const auto keep = shared_from_this();
+    deliver_unread();
+    close(cause);
 }
 
 void peer_link::process_messages()
@@ -192,9 +214,10 @@
 
 void peer_link::check_timeouts()
 {
+    const auto keep = shared_from_this();
     const auto now = boot_clock::now();
     if (!write_error_.empty()) {
-        close(write_error_);
+        close_after_reading(write_error_);
         return;
     }
     if (const auto in_time = handshake_.check(now); !in_time) {
@@ -219,7 +242,8 @@
     if (!awaiting_reply)
         return;
     const auto action = monitor_.check(now);
-    if (action == wire::link_action::close)
+    // After a pause of this process, the peer's messages may still be in the socket.
+    if (action == wire::link_action::close && !deliver_unread())
         close("nothing was received for too long");
     else if (action == wire::link_action::send_ping)
         send(wire::ping{});
--- a/modules/daemon/peer_link.h
+++ b/modules/daemon/peer_link.h
@@ -47,6 +47,14 @@
     /// Closes the link. Calls the handler `closed`, unless the link was closed before.
     void close(const std::string& cause);
 
+    /// Delivers the messages that have arrived, including those in the socket. That may close the
+    /// link.
+    /// \return true if any bytes were read from the socket
+    bool deliver_unread();
+
+    /// Delivers the messages that have arrived, then closes the link.
+    void close_after_reading(const std::string& cause);
+
     bool ready() const noexcept { return handshake_.done(); }
     wire::link_side side() const noexcept { return side_; }
 
@@ -66,7 +74,8 @@
 
     int descriptor() const;
     void socket_ready(bool readable, bool writable);
-    void read_available();
+    /// \return true if bytes were read and the link is still open
+    bool read_available();
     void write_queued();
     void process_messages();
     /// \return false if the message closed the link
--- a/modules/daemon/tests/peer_link_test.cpp
+++ b/modules/daemon/tests/peer_link_test.cpp
@@ -1,7 +1,11 @@
+#include <daemon/link_hub.h>
 #include <daemon/peer_link.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <runtime/socket_address.h>
 #include <sys/socket.h>
+#include <thread>
 
 namespace chivewharf::daemon {
 namespace {
@@ -57,5 +61,140 @@
     g_main_loop_unref(loop);
 }
 
+wire::hello greeting_of(const std::string& host, std::uint64_t incarnation)
+{
+    wire::hello greeting;
+    greeting.domain = "d";
+    greeting.host = host;
+    greeting.incarnation = incarnation;
+    return greeting;
+}
+
+void run_until(const std::function<bool()>& condition)
+{
+    runtime::timer wakeup;
+    wakeup.every(milliseconds{1}, [] {});
+    const auto limit = boot_clock::now() + seconds{10};
+    while (!condition() && boot_clock::now() < limit)
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_TRUE(condition());
+}
+
+/// A hub that is linked to one peer, which the test controls.
+class linked_hub : public testing::Test {
+protected:
+    linked_hub()
+    {
+        const auto listener = runtime::open_listener("127.0.0.1:0", 1);
+        address_ = "127.0.0.1:" + std::to_string(runtime::local_port(listener->get()));
+    }
+
+    void TearDown() override
+    {
+        hub_.reset();
+        const auto links = links_;
+        for (const auto& link : links)
+            link->close("end of the test");
+    }
+
+    void start()
+    {
+        hub_ = std::make_unique<link_hub>(greeting_of("hub", 1), address_, metrics_, 1);
+        hub_->set_event_handlers(
+            {[this](const std::string&, const std::string&, std::uint64_t) { ++linked_; },
+             [this](const std::string&) { received_before_unlinked_ = received_; },
+             [this](const std::string&, const wire::message&) { ++received_; },
+             [] { return std::vector<wire::host_record>{}; }});
+        ASSERT_TRUE(hub_->start({}));
+    }
+
+    /// Opens a connection of the peer to the hub.
+    peer_link::link_ptr open_peer()
+    {
+        const auto address = runtime::parse_socket_address(address_);
+        const socket_ptr socket{g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                             G_SOCKET_PROTOCOL_TCP, nullptr)};
+        g_socket_connect(socket.get(), address->get(), nullptr, nullptr);
+        // As on all links: each frame is sent at once.
+        g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+        peer_link::event_handlers handlers;
+        handlers.ready = [](const peer_link::link_ptr&) {};
+        handlers.received = [this](const peer_link::link_ptr&, const wire::message&) {
+            ++peer_received_;
+        };
+        handlers.closed = [this](const peer_link::link_ptr&, const std::string&) {
+            ++peer_closed_;
+        };
+        if (peer_awaits_reply_)
+            handlers.awaits_reply = [](const peer_link::link_ptr&) { return true; };
+        links_.push_back(peer_link::open(
+            runtime::gobject_ptr<GSocketConnection>{
+                g_socket_connection_factory_create_connection(socket.get())},
+            wire::link_side::connecting, greeting_of("peer", 2), "chivewharf-platform-links",
+            random_, handlers));
+        return links_.back();
+    }
+
+    static void send_results(peer_link& link, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            link.send(wire::job_result{std::string(100, 'j'), 1, wire::job_end::completed, 0});
+    }
+
+    std::string address_;
+    metrics::registry metrics_;
+    rng random_{2};
+    std::unique_ptr<link_hub> hub_;
+    std::vector<peer_link::link_ptr> links_;
+    int linked_ = 0;
+    int received_ = 0;
+    int received_before_unlinked_ = 0;
+    bool peer_awaits_reply_ = false;
+    int peer_received_ = 0;
+    int peer_closed_ = 0;
+};
+
+// Guards against results that have arrived and are lost when the host drops the link, as it does
+// after each pause of its process.
+TEST_F(linked_hub, delivers_what_has_arrived_before_it_drops_a_link)
+{
+    start();
+    const auto link = open_peer();
+    run_until([this, &link] { return linked_ == 1 && link->ready(); });
+    send_results(*link, 150);
+    hub_->drop("peer");
+    EXPECT_EQ(received_before_unlinked_, 150);
+}
+
+// The same when a newer link replaces the one that the results have arrived on.
+TEST_F(linked_hub, delivers_what_has_arrived_on_a_link_that_is_replaced)
+{
+    start();
+    const auto link = open_peer();
+    run_until([this, &link] { return linked_ == 1 && link->ready(); });
+    std::this_thread::sleep_for(milliseconds{1100}); // no longer a simultaneous dial
+    open_peer();
+    send_results(*link, 400);
+    run_until([this] { return linked_ == 2; });
+    EXPECT_EQ(received_before_unlinked_, 400);
+}
+
+// The same when the process was paused for longer than the time after which the peer counts as
+// dead.
+TEST_F(linked_hub, link_is_kept_if_the_reply_arrived_during_a_pause)
+{
+    peer_awaits_reply_ = true;
+    start();
+    const auto link = open_peer();
+    run_until([this, &link] { return linked_ == 1 && link->ready(); });
+    const auto checked_by = boot_clock::now() + milliseconds{600};
+    run_until([checked_by] { return boot_clock::now() > checked_by; });
+    hub_->send("peer", wire::job_result{});
+    std::this_thread::sleep_for(milliseconds{1600});
+    run_until([this] { return peer_received_ == 1 || peer_closed_ > 0; });
+    EXPECT_EQ(peer_received_, 1);
+    EXPECT_EQ(peer_closed_, 0);
+}
+
 } // namespace
 } // namespace chivewharf::daemon
--- a/modules/fleet/ports.h
+++ b/modules/fleet/ports.h
@@ -165,7 +165,8 @@
 
     virtual void send(const std::string& host, const wire::message& message) = 0;
 
-    /// Closes the link to a host that has gone silent.
+    /// Closes the link to a host that has gone silent. Messages that have arrived on it are
+    /// delivered from within the call.
     virtual void drop(const std::string& host) = 0;
 };
 
