Keep idle connections when the memory for requests is used up

When requests in work and many connections exceeded the budget together, the server closed connections without a request, which free 4 KiB each. A request that was in the socket of such a connection got no response.

The budget now chooses only connections that hold a request.

--- a/modules/runtime/request_budget.cpp
+++ b/modules/runtime/request_budget.cpp
@@ -61,7 +61,10 @@
     std::uint64_t chosen = 0;
     std::size_t bytes = 0;
     for (const auto& [connection, held] : connections_) {
-        if (!held.refusable || held.bytes < bytes)
+        // A connection without a request frees almost nothing, and its caller's next request may be
+        // in the socket.
+        const bool has_request = held.bytes > connection_cost;
+        if (!has_request || !held.refusable || held.bytes < bytes)
             continue;
         chosen = connection;
         bytes = held.bytes;
--- a/modules/runtime/request_budget.h
+++ b/modules/runtime/request_budget.h
@@ -50,7 +50,8 @@
     /// If the connection that is being read (`current`) may be refused and holds at least the mean,
     /// it is chosen, because its memory is freed at once. Otherwise it is the connection that holds
     /// the most, the newest of several with the same amount, but only if the budget is exceeded
-    /// even without the memory that refused requests still hold.
+    /// even without the memory that refused requests still hold. A connection that holds no request
+    /// is never chosen.
     std::uint64_t victim(std::uint64_t current) const;
 
 private:
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -360,6 +360,34 @@
     EXPECT_TRUE(receives(single, "<nine byte>"));
 }
 
+// Guards against idle connections that are closed in place of the requests that hold the memory: a
+// caller's next request may be on its way or in the socket.
+TEST_F(http_server_test, keeps_idle_connections_when_the_budget_is_used_up)
+{
+    budget_ = std::size_t{200} * 1024;
+    start({});
+    keep_open_ = true;
+    raw_socket large{port_};
+    large.send(post(std::string(std::size_t{45} * 1024, 'x')));
+    ASSERT_TRUE(run_until([this] { return open_.size() == 1; }));
+    std::vector<std::unique_ptr<raw_socket>> idle(15);
+    for (auto& one : idle)
+        one = std::make_unique<raw_socket>(port_);
+    ASSERT_TRUE(run_until([this] { return server_->open_connections() == 16; }));
+    keep_open_ = false;
+    raw_socket small{port_};
+    small.send(post("small"));
+    ASSERT_TRUE(run_until([&small] { return small.ended; }));
+    EXPECT_NE(small.received.find("request_memory"), std::string::npos) << small.received;
+    EXPECT_EQ(ends_.size(), 1U) << "connections that were ended";
+    open_.front()->respond({200, "late", "text/plain", {}});
+    ASSERT_TRUE(receives(large, "late"));
+    for (const auto& one : idle) {
+        one->send(post("1"));
+        EXPECT_TRUE(receives(*one, "<1>")) << one->received;
+    }
+}
+
 // Guards against malformed requests that reach the handler.
 TEST_F(http_server_test, refuses_malformed_requests)
 {
