Close callers' connections and end peer links in order at a host's stop

Callers of the entry host's own protocol saw: a connection kept open until the process ended, and their next request on it cut. Peers saw: messages queued at the end of the stop dropped, or lost with a reset connection.

Cause: the planned stop neither closed connections with their responses nor closed unused ones, and it closed the peer links at once.

Change: from SIGTERM on, each connection is closed with its next response; unused ones are closed once `drain_notice` has passed. At the end, the links are ended by `peer_link::finish`, for at most 500 ms, and the line `stopped` has the number of callers that have not received their response.

The end of the links of this daemon has no test of its own; peer_link_test covers `finish`.

--- a/modules/daemon/caller_gateway.cpp
+++ b/modules/daemon/caller_gateway.cpp
@@ -117,11 +117,24 @@
     return to_response(std::move(refusal));
 }
 
+void caller_gateway::close_idle()
+{
+    if (server_)
+        server_->close_idle();
+}
+
+void caller_gateway::respond(http_exchange& exchange, http_response response) const
+{
+    if (closing_)
+        response.headers.push_back({"Connection", "close"});
+    exchange.respond(std::move(response));
+}
+
 void caller_gateway::refuse(http_exchange& exchange, reason code, std::string message)
 {
     refusals_.add(code);
-    exchange.respond(
-        to_response(dispatch::render_refusal(code, work_state::not_run, {}, std::move(message))));
+    respond(exchange, to_response(dispatch::render_refusal(code, work_state::not_run, {},
+                                                           std::move(message))));
 }
 
 std::optional<dispatch::principal> caller_gateway::authenticate(const http_exchange& exchange) const
@@ -138,7 +151,7 @@
     if (path != "/healthz" && path != "/readyz")
         return false;
     const bool healthy = path == "/healthz" || is_ready();
-    exchange.respond({healthy ? 200U : 503U, healthy ? "ok\n" : "not ready\n", "text/plain", {}});
+    respond(exchange, {healthy ? 200U : 503U, healthy ? "ok\n" : "not ready\n", "text/plain", {}});
     return true;
 }
 
@@ -229,7 +242,7 @@
     auto response = to_response(std::move(action.answer));
     auto next = loop_.core().issue_ids(1, core_loop::now());
     response.headers.push_back({"Chivewharf-Next-Id", std::move(next.front())});
-    request.exchange->respond(std::move(response));
+    respond(*request.exchange, std::move(response));
 }
 
 void caller_gateway::issue_ids(const exchange_ptr& exchange,
@@ -241,7 +254,7 @@
         return;
     }
     const auto ids = loop_.core().issue_ids(count->value_or(1), core_loop::now());
-    exchange->respond({200, nlohmann::json{{"ids", ids}}.dump(), "application/json", {}});
+    respond(*exchange, {200, nlohmann::json{{"ids", ids}}.dump(), "application/json", {}});
 }
 
 void caller_gateway::serve_metrics(const exchange_ptr& exchange,
@@ -249,8 +262,8 @@
 {
     metrics_.gauge("chivewharf_open_connections") =
         static_cast<double>(server_->open_connections());
-    exchange->respond(
-        {200, metrics_.prometheus_text(), "text/plain; version=0.0.4; charset=utf-8", {}});
+    respond(*exchange,
+            {200, metrics_.prometheus_text(), "text/plain; version=0.0.4; charset=utf-8", {}});
 }
 
 void caller_gateway::status(const exchange_ptr& exchange, const dispatch::principal& /*principal*/)
@@ -258,7 +271,7 @@
     auto report = nlohmann::json::parse(loop_.core().status_json());
     report["ready"] = is_ready();
     report["drained"] = drained_;
-    exchange->respond({200, report.dump(), "application/json", {}});
+    respond(*exchange, {200, report.dump(), "application/json", {}});
 }
 
 void caller_gateway::describe_submission(const exchange_ptr& exchange,
@@ -271,10 +284,10 @@
         return;
     }
     const auto id = request.path.substr(admin_submissions_path.size());
-    exchange->respond({200,
-                       loop_.core().submission_json(customer->second, id, boot_clock::now()),
-                       "application/json",
-                       {}});
+    respond(*exchange, {200,
+                        loop_.core().submission_json(customer->second, id, boot_clock::now()),
+                        "application/json",
+                        {}});
 }
 
 void caller_gateway::describe_customer(const exchange_ptr& exchange,
@@ -286,7 +299,7 @@
         refuse(*exchange, reason::unknown_route, "customer \"" + name + "\" does not exist");
         return;
     }
-    exchange->respond({200, std::move(*report), "application/json", {}});
+    respond(*exchange, {200, std::move(*report), "application/json", {}});
 }
 
 void caller_gateway::drain(const exchange_ptr& exchange, const dispatch::principal& principal)
@@ -328,7 +341,7 @@
                "worker \"" + worker->second + "\" does not exist in this domain");
         return;
     }
-    exchange->respond({200, R"({"ok":true})", "application/json", {}});
+    respond(*exchange, {200, R"({"ok":true})", "application/json", {}});
 }
 
 void caller_gateway::set_self_drained(runtime::http_exchange& exchange,
@@ -338,7 +351,7 @@
     log_line{drained ? "host_drained" : "host_undrained"}.add("operator", principal.name).write();
     ++metrics_.counter("chivewharf_operator_actions_total",
                        drained ? "action=\"drain_self\"" : "action=\"undrain_self\"");
-    exchange.respond({200, R"({"ok":true})", "application/json", {}});
+    respond(exchange, {200, R"({"ok":true})", "application/json", {}});
 }
 
 } // namespace chivewharf::daemon
--- a/modules/daemon/caller_gateway.h
+++ b/modules/daemon/caller_gateway.h
@@ -34,6 +34,12 @@
     /// it is reported as not ready in any case.
     void set_ready(bool ready) noexcept { ready_ = ready; }
 
+    /// Begins the planned stop: each connection is closed with its next response.
+    void begin_closing() noexcept { closing_ = true; }
+
+    /// Closes the connections that are unused. May be called repeatedly.
+    void close_idle();
+
     /// Sends the response to a request. Does nothing if the caller has disconnected.
     void answer(dispatch::answer_caller action);
 
@@ -58,6 +64,7 @@
     static const route routes[];
 
     void handle(const exchange_ptr& exchange);
+    void respond(runtime::http_exchange& exchange, runtime::http_response response) const;
     bool handle_probe(runtime::http_exchange& exchange);
     std::optional<dispatch::principal> authenticate(const runtime::http_exchange& exchange) const;
     void submit(const exchange_ptr& exchange, const dispatch::principal& principal);
@@ -92,6 +99,7 @@
     submission::waiter next_waiter_ = 1;
     std::uint16_t port_ = 0;
     bool ready_ = false;
+    bool closing_ = false; ///< a planned stop has begun
     bool drained_ = false; ///< an operator has drained this host
     metrics::reason_counters& refusals_;
     metrics::latency_histogram& response_time_;
--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -15,6 +15,9 @@
 /// expired, with a quarantine.
 constexpr duration handover_timeout = seconds{5};
 
+/// Time for other hosts to receive the messages that are queued at the end of the stop.
+constexpr duration link_end_timeout = milliseconds{500};
+
 dispatch::identity make_identity(const settings::host_settings& host)
 {
     return {host.domain, host.name, random_seed()};
@@ -121,6 +124,7 @@
     stopping_ = true;
     stop_phase_began_ = boot_clock::now();
     callers_->set_ready(false);
+    callers_->begin_closing();
     log_line{"stop_begins"}.add("in_flight", std::uint64_t{core_->in_flight()}).write();
     stop_timer_.once(host_.drain_notice, [this] { refuse_new_work(); });
 }
@@ -133,6 +137,7 @@
 
 void entry_daemon::wait_until_drained()
 {
+    callers_->close_idle();
     if (!core_->drained())
         return;
     loop_->event([](auto& core, const auto& at) { core.hand_over(at); });
@@ -142,12 +147,26 @@
 
 void entry_daemon::wait_until_handed_over()
 {
+    callers_->close_idle();
     const bool complete = core_->handed_over() && platform_->pending_appends() == 0 &&
                           callers_->pending_responses() == 0;
     if (!complete && boot_clock::now() - stop_phase_began_ < handover_timeout)
         return;
-    log_line{"stopped"}.add("handed_over", complete ? "true" : "false").write();
-    quit(0);
+    log_line{"stopped"}
+        .add("handed_over", complete ? "true" : "false")
+        .add("open", std::uint64_t{callers_->pending_responses()})
+        .write();
+    peers_->finish();
+    stop_phase_began_ = boot_clock::now();
+    stop_timer_.every(drain_check_interval, [this] { wait_until_peers_told(); });
+}
+
+void entry_daemon::wait_until_peers_told()
+{
+    callers_->close_idle();
+    const bool complete = peers_->finished() && callers_->pending_responses() == 0;
+    if (complete || boot_clock::now() - stop_phase_began_ >= link_end_timeout)
+        quit(0);
 }
 
 void entry_daemon::quit(int exit_code)
--- a/modules/daemon/peer_gateway.cpp
+++ b/modules/daemon/peer_gateway.cpp
@@ -62,9 +62,19 @@
     peers_.clear();
 }
 
+void peer_gateway::finish()
+{
+    finishing_ = true;
+    const auto open = links_;
+    for (const auto& link : open)
+        link->finish();
+}
+
 void peer_gateway::open_link(runtime::gobject_ptr<GSocketConnection> connection,
                              wire::link_side side, const std::string& expected_host)
 {
+    if (finishing_)
+        return;
     const auto& self = loop_.core().self();
     wire::hello greeting;
     greeting.domain = self.domain;
--- a/modules/daemon/peer_gateway.h
+++ b/modules/daemon/peer_gateway.h
@@ -37,6 +37,12 @@
     /// is up.
     void send(dispatch::send_peer action);
 
+    /// Ends all links without a loss of queued messages, and opens no further ones.
+    void finish();
+
+    /// True once every link has closed after `finish`.
+    bool finished() const noexcept { return finishing_ && links_.empty(); }
+
     /// Closes the link to the host, so that the next message opens a new one.
     void drop(const std::string& host);
 
@@ -72,6 +78,7 @@
     std::set<link_ptr> links_;
     runtime::timer idle_timer_;
     std::uint16_t port_ = 0;
+    bool finishing_ = false;
     std::uint64_t& opened_;
     std::uint64_t& closed_;
     std::uint64_t& dropped_;
