--- a/testing/fleet_soak/faults.cpp
+++ b/testing/fleet_soak/faults.cpp
@@ -1,6 +1,7 @@
 #include "faults.h"
 
 #include <csignal>
+#include <filesystem>
 #include <testing/support/after.h>
 
 namespace chivewharf::fleet_soak {
@@ -39,6 +40,12 @@
             std::string(depth, '\xff')};
 }
 
+bool has_no_output(const child& host)
+{
+    std::error_code unreadable;
+    return std::filesystem::file_size(host.log, unreadable) == 0;
+}
+
 } // namespace
 
 const std::map<std::string, faults::begin_function> faults::kinds{
@@ -150,7 +157,10 @@
     ++active_;
     host->on_exit = [this, host](int code) {
         --active_;
-        if (code != 0)
+        // A process that has not written a line yet has no handler for the signal, and no requests.
+        if (code == -SIGTERM && has_no_output(*host))
+            ++evidence_.outcomes["stopped before its start"];
+        else if (code != 0)
             evidence_.violation(host->name + " ended its planned stop with " +
                                 std::to_string(code));
         restart(host);
