One store for the jobs that a host remembers for a time

finished_jobs repeated the retention and the bound of cancelled_jobs. Both now use recent_jobs. The test of a reset connection uses the pair that another test has. No change of behaviour; the tests of both classes, of histories and of the planned stop pass.

--- a/modules/daemon/tests/peer_link_test.cpp
+++ b/modules/daemon/tests/peer_link_test.cpp
@@ -16,26 +16,6 @@
 
 using socket_ptr = runtime::gobject_ptr<GSocket>;
 
-/// A connection that its peer has reset before any data was read.
-runtime::gobject_ptr<GSocketConnection> reset_connection()
-{
-    const auto listener = runtime::open_listener("127.0.0.1:0", 1);
-    const auto address = runtime::parse_socket_address(
-        "127.0.0.1:" + std::to_string(runtime::local_port(listener->get())));
-    socket_ptr caller{
-        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr)};
-    g_socket_connect(caller.get(), address->get(), nullptr, nullptr);
-    g_socket_set_blocking(listener->get(), TRUE);
-    const socket_ptr accepted{g_socket_accept(listener->get(), nullptr, nullptr)};
-    const linger reset_on_close{1, 0};
-    setsockopt(g_socket_get_fd(caller.get()), SOL_SOCKET, SO_LINGER, &reset_on_close,
-               sizeof reset_on_close);
-    g_socket_close(caller.get(), nullptr);
-    g_socket_condition_wait(accepted.get(), G_IO_IN, nullptr, nullptr);
-    return runtime::gobject_ptr<GSocketConnection>{
-        g_socket_connection_factory_create_connection(accepted.get())};
-}
-
 /// The two ends of a TCP connection.
 std::pair<runtime::gobject_ptr<GSocketConnection>, runtime::gobject_ptr<GSocketConnection>>
 connected_pair()
@@ -53,6 +33,20 @@
             connection{g_socket_connection_factory_create_connection(accepted.get())}};
 }
 
+/// A connection that its peer has reset before any data was read.
+runtime::gobject_ptr<GSocketConnection> reset_connection()
+{
+    auto [caller, accepted] = connected_pair();
+    auto* socket = g_socket_connection_get_socket(caller.get());
+    const linger reset_on_close{1, 0};
+    setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset_on_close,
+               sizeof reset_on_close);
+    g_socket_close(socket, nullptr);
+    g_socket_condition_wait(g_socket_connection_get_socket(accepted.get()), G_IO_IN, nullptr,
+                            nullptr);
+    return std::move(accepted);
+}
+
 /// Two linked hosts, `a` and `b`, that count what they receive.
 struct linked_pair {
     struct host {
--- a/modules/fleet/cancelled_jobs.h
+++ b/modules/fleet/cancelled_jobs.h
@@ -2,8 +2,7 @@
 
 #include <base/time.h>
 #include <cstddef>
-#include <deque>
-#include <map>
+#include <fleet/recent_jobs.h>
 #include <string>
 #include <vector>
 
@@ -29,20 +28,16 @@
     std::vector<std::string> passed_on(time_point now) const;
 
     /// Forgets the jobs whose time is over.
-    void expire(time_point now);
+    void expire(time_point now) { jobs_.expire(now); }
 
     std::size_t size() const noexcept { return jobs_.size(); }
 
 private:
-    struct entry {
-        time_point cancelled_at;
+    struct cancellation {
         bool passed_on = false;
     };
 
-    void forget_oldest();
-
-    std::map<std::string, entry> jobs_;
-    std::deque<std::string> by_age_;
+    recent_jobs<cancellation> jobs_{retention, max_jobs};
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/finished_jobs.h
+++ b/modules/fleet/finished_jobs.h
@@ -2,8 +2,7 @@
 
 #include <base/time.h>
 #include <cstddef>
-#include <deque>
-#include <map>
+#include <fleet/recent_jobs.h>
 #include <optional>
 #include <string>
 #include <wire/messages.h>
@@ -28,20 +27,12 @@
     std::optional<wire::job_end> find(const std::string& job, time_point now) const;
 
     /// Forgets the jobs whose time is over.
-    void expire(time_point now);
+    void expire(time_point now) { jobs_.expire(now); }
 
     std::size_t size() const noexcept { return jobs_.size(); }
 
 private:
-    struct entry {
-        time_point finished_at;
-        wire::job_end end;
-    };
-
-    void forget_oldest();
-
-    std::map<std::string, entry> jobs_;
-    std::deque<std::string> by_age_;
+    recent_jobs<wire::job_end> jobs_{retention, max_jobs};
 };
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -29,6 +29,7 @@
 #include <fleet/placement.h>
 #include <fleet/ports.h>
 #include <fleet/progress_check.h>
+#include <fleet/recent_jobs.h>
 #include <fleet/report_schedule.h>
 #include <fleet/request_log.h>
 #include <fleet/retry_schedule.h>
