--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -10,6 +10,7 @@
 #include <runtime/server_connection.h>
 #include <runtime/socket_state.h>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 namespace chivewharf::runtime {
@@ -18,6 +19,7 @@
 
 constexpr int listen_backlog = 1024;
 constexpr duration sweep_interval = milliseconds{500};
+constexpr duration max_sweep_delay = milliseconds{200};
 constexpr const char* connection_key = "chivewharf-connection";
 
 } // namespace
@@ -359,6 +361,10 @@
 void http_server::sweep()
 {
     const auto now = boot_clock::now();
+    const auto late = now - std::exchange(last_sweep_, now) - sweep_interval;
+    // If the process did not run for a while, what arrived in that time is read first.
+    if (late > max_sweep_delay)
+        return;
     std::vector<server_connection*> slow;
     std::vector<server_connection*> idle;
     std::vector<std::shared_ptr<http_exchange>> disconnected;
@@ -367,8 +373,7 @@
             continue;
         if (conn->exceeds_idle_timeout(limits_.idle_timeout, now))
             idle.push_back(conn);
-        else if (conn->exceeds_request_timeout(limits_.request_timeout,
-                                               limits_.request_timeout + sweep_interval, now))
+        else if (conn->exceeds_request_timeout(limits_.request_timeout, now))
             slow.push_back(conn);
         else if (auto waiting = conn->exchange.lock(); conn->in_handler && waiting &&
                                                        !waiting->answered() &&
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -76,8 +76,8 @@
     void on_connection_end(connection_observer observer) { observer_ = std::move(observer); }
 
     /// Closes the connections that are unused: nothing of a request has arrived, the caller has
-    /// received every response, and neither happened within the last half second. May be called
-    /// repeatedly.
+    /// received every response, and neither happened within `server_connection::min_rest`. May be
+    /// called repeatedly.
     void close_idle();
 
     /// Accepts the connections that wait, and refuses later ones.
@@ -133,6 +133,7 @@
     request_budget budget_;
     std::unordered_map<std::uint64_t, server_connection*> by_number_; ///< by number in the budget
     timer sweep_timer_;
+    time_point last_sweep_ = boot_clock::now();
 };
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/server_connection.cpp
+++ b/modules/runtime/server_connection.cpp
@@ -5,14 +5,6 @@
 
 namespace chivewharf::runtime {
 
-namespace {
-
-/// A caller that has just connected, or received a response, is likely to send a request at once.
-/// It takes at least a round trip to arrive.
-constexpr duration min_rest = milliseconds{500};
-
-} // namespace
-
 bool server_connection::between_requests() const
 {
     return !in_handler && !state->receiving && complete.empty() && !scanner.receiving() &&
@@ -34,24 +26,19 @@
     const auto timeout = std::max(current_timeout, idle_timeout);
     if (now - last_used <= timeout)
         return false;
-    return between_requests() || untaken_for(now) > timeout;
+    return between_requests() || response_unread_for(now) > timeout;
 }
 
-duration server_connection::untaken_for(time_point now) const
+duration server_connection::response_unread_for(time_point now) const
 {
     const auto answered = exchange.lock();
     return in_handler && answered && answered->answered() ? now - answered->answered_at()
                                                           : duration{};
 }
 
-bool server_connection::exceeds_request_timeout(duration timeout, duration unread_timeout,
-                                                time_point now) const
+bool server_connection::exceeds_request_timeout(duration timeout, time_point now) const
 {
-    if (in_handler || !receiving_since)
-        return false;
-    // If the process did not run for a while, the rest of the request may be in the socket.
-    const auto limit = unread_bytes(socket.get()) > 0 ? unread_timeout : timeout;
-    return now - *receiving_since > limit;
+    return !in_handler && receiving_since && now - *receiving_since > timeout;
 }
 
 request_stage server_connection::stage() const
--- a/modules/runtime/server_connection.h
+++ b/modules/runtime/server_connection.h
@@ -18,6 +18,10 @@
 
 /// State of an open connection of an `http_server`, and whether it may be closed.
 struct server_connection {
+    /// A caller that has just connected, or received a response, is likely to send a request at
+    /// once. It takes at least a round trip to arrive.
+    static constexpr duration min_rest = milliseconds{500};
+
     http_server* server; ///< null after the server has been destroyed
     gobject_ptr<GSocket> socket;
     std::shared_ptr<receive_state> state = std::make_shared<receive_state>();
@@ -46,8 +50,7 @@
     bool exceeds_idle_timeout(duration current_timeout, time_point now) const;
 
     /// True if a request has not arrived completely in time.
-    /// \param unread_timeout timeout that applies if more bytes wait in the socket
-    bool exceeds_request_timeout(duration timeout, duration unread_timeout, time_point now) const;
+    bool exceeds_request_timeout(duration timeout, time_point now) const;
 
     connection_end describe_end(end_cause cause, reason limit, time_point now) const;
 
@@ -57,7 +60,7 @@
 private:
     request_stage stage() const;
     /// Time for which the caller has not read a response completely; 0 if there is none.
-    duration untaken_for(time_point now) const;
+    duration response_unread_for(time_point now) const;
 };
 
 } // namespace chivewharf::runtime
--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -318,6 +318,27 @@
         EXPECT_TRUE(receives(*caller, "<2>")) << caller->received;
 }
 
+// Guards against a request that is refused as too slow although its rest arrived while the process
+// did not run.
+TEST_F(http_server_test, reads_the_rest_of_a_request_after_a_pause)
+{
+    http_limits limits;
+    limits.request_timeout = milliseconds{400};
+    start(limits);
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(std::make_unique<raw_socket>(port_));
+        callers.back()->send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1");
+    }
+    ASSERT_TRUE(run_until([this] { return server_->busy_connections() == 20; }));
+    run_until([] { return false; }, milliseconds{50});
+    for (const auto& caller : callers)
+        caller->send("2");
+    std::this_thread::sleep_for(milliseconds{2000});
+    for (const auto& caller : callers)
+        EXPECT_TRUE(receives(*caller, "<12>")) << caller->received;
+}
+
 // Guards against a request that is dropped because it has begun behind another one and is only in
 // the read buffer.
 TEST_F(http_server_test, answers_a_request_that_began_behind_another_at_a_stop)
