Answer and read before a planned stop ends by the clock

Callers saw connections end without a response if the process did not run while the limit of its stop passed: the end was decided by the clock alone, before the loop could write the responses. Other hosts got no reply to orders that had arrived when a host ended its links, and a job was answered 504 although its result had arrived during a pause.

At least five ticks now lie between the last answers and the end of the process. A late tick, and the end of the links, first deliver what is in the links' sockets.

That a job gets its result instead of a 504 after a pause has no test of its own.

--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -13,6 +13,11 @@
 constexpr duration tick_interval = milliseconds{20};
 /// A tick that is later than this is logged: the process was suspended or got no CPU time.
 constexpr duration late_tick_threshold = milliseconds{300};
+/// After a longer delay of a tick, messages of other hosts may have arrived that were not read yet.
+constexpr duration max_unread_delay = milliseconds{50};
+/// Ticks between the last answers of a planned stop and the end of the process, also if its limit
+/// has passed: responses are written by the loop.
+constexpr int min_closing_ticks = 5;
 /// New connections may arrive for this long after the host has become unready: the load balancer
 /// probes once a second and removes a host after two failed probes.
 constexpr duration balancer_removal_delay = milliseconds{2200};
@@ -140,9 +145,13 @@
     last_tick_ = now;
     metrics_.histogram("chivewharf_tick_late_seconds").observe(late);
     if (closing_since_) {
+        ++closing_ticks_;
         check_closed(now);
         return;
     }
+    // What arrived while the process did not run counts before any deadline is judged.
+    if (late > max_unread_delay)
+        links_->deliver_unread();
     core_->tick(now);
     if (stopping_)
         check_drained(now);
@@ -205,7 +214,8 @@
     adapters_.callers->close_idle();
     const bool peers_told = links_->finished() || now - *closing_since_ >= peer_margin;
     const bool complete = peers_told && adapters_.callers->pending_responses() == 0;
-    if (!complete && now < stop_limit_)
+    const bool limit_reached = now >= stop_limit_ && closing_ticks_ >= min_closing_ticks;
+    if (!complete && !limit_reached)
         return;
     const auto at_limit = core_->router().answered_at_limit();
     log_line{"stopped"}
--- a/modules/daemon/fleet_daemon.h
+++ b/modules/daemon/fleet_daemon.h
@@ -70,6 +70,7 @@
     time_point stop_began_{};
     time_point stop_limit_{};                 ///< the process ends by then; valid if `stopping_`
     std::optional<time_point> closing_since_; ///< when a planned stop ended its work
+    int closing_ticks_ = 0;                   ///< since then
     bool ended_idle_ = false;                 ///< nothing was open then
     bool stopping_ = false;
 };
--- a/modules/daemon/link_hub.cpp
+++ b/modules/daemon/link_hub.cpp
@@ -60,11 +60,20 @@
 {
     finishing_ = true;
     dial_timer_.cancel();
+    // Orders that have arrived get a reply before the link ends.
+    deliver_unread();
     const auto open_links = links_;
     for (const auto& link : open_links)
         link->finish();
 }
 
+void link_hub::deliver_unread()
+{
+    const auto open_links = links_;
+    for (const auto& link : open_links)
+        link->deliver_unread();
+}
+
 bool link_hub::linked_to(const std::string& address) const
 {
     const auto host = host_by_address_.find(address);
--- a/modules/daemon/link_hub.h
+++ b/modules/daemon/link_hub.h
@@ -39,6 +39,9 @@
     /// Sets addresses that are dialled in addition to the hosts that the core names.
     void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
+    /// Delivers the messages that have arrived, including those in the sockets.
+    void deliver_unread();
+
     /// Ends all links without a loss of queued messages, and opens no further ones.
     void finish();
 
--- a/modules/daemon/tests/peer_link_test.cpp
+++ b/modules/daemon/tests/peer_link_test.cpp
@@ -257,6 +257,29 @@
     EXPECT_EQ(received_before_unlinked_, 150);
 }
 
+// Guards against a timer of the host that judges before what has arrived is read.
+TEST_F(linked_hub, delivers_what_has_arrived_on_request)
+{
+    start();
+    const auto link = open_peer();
+    run_until([this, &link] { return linked_ == 1 && link->ready(); });
+    send_results(*link, 3);
+    hub_->deliver_unread();
+    EXPECT_EQ(received_, 3);
+}
+
+// Guards against orders that get no reply because the host ends its links.
+TEST_F(linked_hub, delivers_what_has_arrived_before_it_finishes)
+{
+    start();
+    const auto link = open_peer();
+    run_until([this, &link] { return linked_ == 1 && link->ready(); });
+    send_results(*link, 3);
+    hub_->finish();
+    EXPECT_EQ(received_, 3);
+    run_until([this] { return hub_->finished(); });
+}
+
 // The same when a newer link replaces the one that the results have arrived on.
 TEST_F(linked_hub, delivers_what_has_arrived_on_a_link_that_is_replaced)
 {
