--- a/modules/daemon/entry_daemon.cpp
+++ b/modules/daemon/entry_daemon.cpp
@@ -158,10 +158,10 @@
         .write();
     peers_->finish();
     stop_phase_began_ = boot_clock::now();
-    stop_timer_.every(drain_check_interval, [this] { wait_until_peers_told(); });
+    stop_timer_.every(drain_check_interval, [this] { wait_until_links_ended(); });
 }
 
-void entry_daemon::wait_until_peers_told()
+void entry_daemon::wait_until_links_ended()
 {
     callers_->close_idle();
     const bool complete = peers_->finished() && callers_->pending_responses() == 0;
--- a/modules/daemon/entry_daemon.h
+++ b/modules/daemon/entry_daemon.h
@@ -37,7 +37,7 @@
     void refuse_new_work();
     void wait_until_drained();
     void wait_until_handed_over();
-    void wait_until_peers_told();
+    void wait_until_links_ended();
     void quit(int exit_code);
     void check_health();
     action_handlers make_action_handlers();
--- a/modules/daemon/fleet_daemon.cpp
+++ b/modules/daemon/fleet_daemon.cpp
@@ -17,7 +17,7 @@
 constexpr duration max_unread_delay = milliseconds{50};
 /// Ticks between the last answers of a planned stop and the end of the process, also if its limit
 /// has passed: responses are written by the loop.
-constexpr int min_closing_ticks = 5;
+constexpr int min_ending_ticks = 5;
 /// New connections may arrive for this long after the host has become unready: the load balancer
 /// probes once a second and removes a host after two failed probes.
 constexpr duration balancer_removal_delay = milliseconds{2200};
@@ -144,9 +144,9 @@
         log_line{"tick_late"}.add("late_ms", to_ms(late)).write();
     last_tick_ = now;
     metrics_.histogram("chivewharf_tick_late_seconds").observe(late);
-    if (closing_since_) {
-        ++closing_ticks_;
-        check_closed(now);
+    if (ending_since_) {
+        ++ending_ticks_;
+        check_ended(now);
         return;
     }
     // What arrived while the process did not run counts before any deadline is judged.
@@ -197,24 +197,24 @@
         adapters_.callers->stop_listening();
     const bool idle = core_->drained() && adapters_.callers->pending_responses() == 0;
     if (idle || now >= stop_limit_ - peer_margin)
-        begin_closing(idle, now);
+        begin_ending(idle, now);
 }
 
-void fleet_daemon::begin_closing(bool idle, time_point now)
+void fleet_daemon::begin_ending(bool idle, time_point now)
 {
-    closing_since_ = now;
+    ending_since_ = now;
     ended_idle_ = idle;
     adapters_.callers->stop_listening();
     core_->finish_leaving(now);
     links_->finish();
 }
 
-void fleet_daemon::check_closed(time_point now)
+void fleet_daemon::check_ended(time_point now)
 {
     adapters_.callers->close_idle();
-    const bool peers_told = links_->finished() || now - *closing_since_ >= peer_margin;
-    const bool complete = peers_told && adapters_.callers->pending_responses() == 0;
-    const bool limit_reached = now >= stop_limit_ && closing_ticks_ >= min_closing_ticks;
+    const bool links_ended = links_->finished() || now - *ending_since_ >= peer_margin;
+    const bool complete = links_ended && adapters_.callers->pending_responses() == 0;
+    const bool limit_reached = now >= stop_limit_ && ending_ticks_ >= min_ending_ticks;
     if (!complete && !limit_reached)
         return;
     const auto at_limit = core_->router().answered_at_limit();
@@ -223,7 +223,7 @@
         .add("open", std::uint64_t{adapters_.callers->pending_responses()})
         .add("not_run_at_limit", at_limit.not_run)
         .add("lost_at_limit", at_limit.lost)
-        .add("peers_told", links_->finished() ? "true" : "false")
+        .add("links_ended", links_->finished() ? "true" : "false")
         .write();
     main_.quit(0);
 }
--- a/modules/daemon/fleet_daemon.h
+++ b/modules/daemon/fleet_daemon.h
@@ -48,9 +48,9 @@
     /// Ends the work of a planned stop once nothing is open, or shortly before its limit.
     void check_drained(time_point now);
     /// Answers what is still open, and ends the links to other hosts.
-    void begin_closing(bool idle, time_point now);
+    void begin_ending(bool idle, time_point now);
     /// Ends the process once callers and hosts have received everything, or at the stop's limit.
-    void check_closed(time_point now);
+    void check_ended(time_point now);
     bool start_metrics();
     std::string metrics_text();
 
@@ -68,10 +68,10 @@
     runtime::timer tick_timer_;
     time_point last_tick_{};
     time_point stop_began_{};
-    time_point stop_limit_{};                 ///< the process ends by then; valid if `stopping_`
-    std::optional<time_point> closing_since_; ///< when a planned stop ended its work
-    int closing_ticks_ = 0;                   ///< since then
-    bool ended_idle_ = false;                 ///< nothing was open then
+    time_point stop_limit_{};                ///< the process ends by then; valid if `stopping_`
+    std::optional<time_point> ending_since_; ///< when a planned stop ended its work
+    int ending_ticks_ = 0;                   ///< since then
+    bool ended_idle_ = false;                ///< nothing was open then
     bool stopping_ = false;
 };
 
