--- a/modules/runtime/tests/http_server_test.cpp
+++ b/modules/runtime/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <runtime/http_server.h>
+#include <runtime/socket_address.h>
 #include <thread>
 
 namespace chivewharf::runtime::test {
@@ -11,6 +12,9 @@
 
 const std::string get = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// More than the buffers of a connection hold.
+const std::string large_body(std::size_t{16} * 1024 * 1024, 'r');
+
 std::string post(const std::string& body)
 {
     return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
@@ -52,6 +56,24 @@
                socket.received.find(text) != std::string::npos;
     }
 
+    /// Connects a caller that reads nothing.
+    gobject_ptr<GSocket> connect_without_reading() const
+    {
+        const auto address = parse_socket_address("127.0.0.1:" + std::to_string(port_));
+        gobject_ptr<GSocket> socket{g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                                 G_SOCKET_PROTOCOL_TCP, nullptr)};
+        g_socket_connect(socket.get(), address->get(), nullptr, nullptr);
+        return socket;
+    }
+
+    /// Sends a request on the socket and waits until a handler has it.
+    void request_on(GSocket* socket)
+    {
+        const auto open = open_.size();
+        g_socket_send(socket, get.data(), get.size(), nullptr, nullptr);
+        ASSERT_TRUE(run_until([this, open] { return open_.size() == open + 1; }));
+    }
+
     void expect_still_serving()
     {
         raw_socket probe{port_};
@@ -232,6 +254,38 @@
     }
 }
 
+// Guards against a response that is cut because its connection was unused before the request.
+TEST_F(http_server_test, lets_a_caller_read_a_response_after_a_rest)
+{
+    http_limits limits;
+    limits.idle_timeout = milliseconds{1200};
+    start(limits);
+    keep_open_ = true;
+    auto socket = connect_without_reading();
+    request_on(socket.get());
+    open_[0]->respond({200, "first", "text/plain", {}});
+    run_until([] { return false; }, milliseconds{1100});
+    request_on(socket.get());
+    open_[1]->respond({200, large_body + "end", "text/plain", {}});
+    run_until([] { return false; }, milliseconds{800});
+    raw_socket reader{std::move(socket)};
+    EXPECT_TRUE(receives(reader, "end")) << reader.received.size();
+}
+
+// Guards against a caller that holds a response forever because it does not read it.
+TEST_F(http_server_test, ends_a_connection_whose_response_is_not_read)
+{
+    http_limits limits;
+    limits.idle_timeout = milliseconds{100};
+    start(limits);
+    keep_open_ = true;
+    const auto socket = connect_without_reading();
+    request_on(socket.get());
+    open_[0]->respond({200, large_body, "text/plain", {}});
+    open_.clear();
+    EXPECT_TRUE(run_until([this] { return server_->open_connections() == 0; }));
+}
+
 // Guards against a change of the limits that closes many connections in one moment.
 TEST_F(http_server_test, applies_a_shorter_idle_timeout_from_the_next_response_on)
 {
