--- a/modules/runtime/http_server.cpp
+++ b/modules/runtime/http_server.cpp
@@ -362,8 +362,10 @@
 {
     const auto now = boot_clock::now();
     const auto late = now - std::exchange(last_sweep_, now) - sweep_interval;
-    // If the process did not run for a while, what arrived in that time is read first.
-    if (late > max_sweep_delay)
+    // If the process did not run for a while, what arrived in that time is read first. A process
+    // that is always late sweeps every other time.
+    sweep_skipped_ = late > max_sweep_delay && !sweep_skipped_;
+    if (sweep_skipped_)
         return;
     std::vector<server_connection*> slow;
     std::vector<server_connection*> idle;
--- a/modules/runtime/http_server.h
+++ b/modules/runtime/http_server.h
@@ -134,6 +134,7 @@
     std::unordered_map<std::uint64_t, server_connection*> by_number_; ///< by number in the budget
     timer sweep_timer_;
     time_point last_sweep_ = boot_clock::now();
+    bool sweep_skipped_ = false; ///< by the last call of `sweep`
 };
 
 } // namespace chivewharf::runtime
