--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -295,8 +295,11 @@
     std::int64_t at_ms = 0;
 };
 /// \param leave_ms the client closes the connection after this time if it has no response
+/// \param send_at_ms the request is sent at this time on the connection that is opened now; 0: at
+/// once
 inline answer call(const std::string& address, const std::string& method, const std::string& host,
-                   const std::string& path, const std::string& body, int deadline_ms, int leave_ms)
+                   const std::string& path, const std::string& body, int deadline_ms, int leave_ms,
+                   std::int64_t send_at_ms = 0)
 {
     answer result;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -304,19 +307,22 @@
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     result.status = -1;
-    if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
-        write_all(fd, method + ' ' + path + " HTTP/1.1\r\nHost: " + host +
-                          "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " +
-                          std::to_string(deadline_ms) + "\r\nContent-Length: " +
-                          std::to_string(body.size()) + "\r\n\r\n" + body)) {
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) {
+        sleep_until_ms(send_at_ms);
+        const auto text =
+            method + ' ' + path + " HTTP/1.1\r\nHost: " + host +
+            "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         std::string buffer, first;
         request got;
-        if (read_message(fd, buffer, first, got, clk::now() + ms{leave_ms})) {
-            result.status = std::stoi(first.substr(first.find(' ') + 1));
-            result.body = got.body;
+        if (write_all(fd, text)) {
+            if (read_message(fd, buffer, first, got, clk::now() + ms{leave_ms})) {
+                result.status = std::stoi(first.substr(first.find(' ') + 1));
+                result.body = got.body;
+            }
+            else
+                result.status = errno == ETIMEDOUT ? 0 : -1;
         }
-        else
-            result.status = errno == ETIMEDOUT ? 0 : -1;
     }
     ::close(fd);
     result.at_ms = now_ms();
@@ -538,11 +544,17 @@
     std::atomic<bool> cut{false};
     /// If given, tells from the fencing token of a call whether its sender reaches the runner.
     std::function<bool(std::uint64_t token)> reachable;
-    /// The process of the runner ends and starts again: it knows nothing of before.
-    void crash()
+    /// The process of the runner ends and starts again after a time: it knows nothing of before,
+    /// and may be of another kind.
+    void crash(int down_ms, std::int64_t cpu)
     {
+        cut = true;
+        server_.reset_connections();
+        sleep_ms(down_ms);
         {
             const std::lock_guard guard{mutex_};
+            options_.capacity.cpu = cpu;
+            note(options_.id + " has crashed and is back with " + std::to_string(cpu));
             for (const auto& [task, one] : running_) {
                 ledger::get().ended(task, where(one.number));
                 note("crashed " + task + " " + where(one.number));
@@ -557,6 +569,7 @@
             started_ = clk::now();
         }
         server_.reset_connections();
+        cut = false;
         announce();
     }
     void set_draining(bool draining)
@@ -1066,9 +1079,11 @@
                                    : std::string{"connection broken"}));
         return result;
     }
-    answer cancel(std::size_t host, const std::string& job)
+    /// \param send_at_ms time of the request, on a connection that is opened now; 0: at once
+    answer cancel(std::size_t host, const std::string& job, std::int64_t send_at_ms = 0)
     {
-        auto result = call(front(host), "DELETE", "desk.example", "/desk/" + job, "", 1500, 1500);
+        auto result =
+            call(front(host), "DELETE", "desk.example", "/desk/" + job, "", 1500, 1500, send_at_ms);
         note("DELETE " + job + " at " + hosts[host].name + ": " + std::to_string(result.status));
         return result;
     }
