Refuse orders that the network has held back

Cause: nothing bounded the age of an order. A link that its sender closes still delivers what is on its way. The owner counted the time that a job has left from the arrival of the order, and the time after which the coordinator takes a lost owner's tasks for ended began at the loss of the link.

Evidence: in the logs of one job the coordinator has a single job_sent, 50 ms after the cut began, and job_owner_lost 510 ms later; the owner's first line is task_start 3,253 ms after that job_sent and 5 ms after the end of the cut, with age_ms=0. Ruled out by the same lines: a second order after the link was back (no second job_sent), and a stop that was lost (no task_start before).

Fix: reports carry the sender's clock; from the readings each host keeps a lower bound of the other's clock, and an order states that bound. The owner refuses an order that can be older than 500 ms as `stale`, after a report with a fresh reading, and the coordinator sends it again at once. The time on the way is taken from the time that the job has left, and the time limit of a lost owner grows by the 500 ms. It works since a reading was taken before it arrived, however long it was on its way, so the age is never underestimated, whoever holds the bytes back: a cut, a frozen sender or receiver, a relay. No message is added; an order and a report grow by one number each.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -24,8 +24,10 @@
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
 #include <fleet/operator_key.h>
+#include <fleet/order_age.h>
 #include <fleet/owner_choice.h>
 #include <fleet/owner_view.h>
+#include <fleet/peer_clock.h>
 #include <fleet/placement.h>
 #include <fleet/ports.h>
 #include <fleet/progress_check.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <base/log_line.h>
+#include <fleet/order_age.h>
 #include <fleet/report_schedule.h>
 #include <set>
 #include <tuple>
@@ -83,8 +84,8 @@
 {
     router_ = std::make_unique<job_router>(
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
-        [this](const std::string& host, const wire::message& message, time_point at) {
-            send_to_owner(host, message, at);
+        [this](const std::string& host, wire::message message, time_point at) {
+            send_to_owner(host, std::move(message), at);
         },
         self_.incarnation);
 }
@@ -261,18 +262,39 @@
     }
 }
 
-void fleet_host::send_to_owner(const std::string& host, const wire::message& message,
-                               time_point now)
+void fleet_host::send_to_owner(const std::string& host, wire::message message, time_point now)
 {
-    if (host != self_.host)
+    auto* order = std::get_if<wire::job_order>(&message);
+    if (host != self_.host) {
+        const auto* known = directory_.find(host);
+        if (order != nullptr && known != nullptr)
+            stamp(*order, known->clock, now);
         peers_.send(host, message);
-    else if (const auto* order = std::get_if<wire::job_order>(&message))
-        handle_order(host, *order, now);
+    }
+    else if (order != nullptr)
+        handle_order(host, std::move(*order), now);
     else if (const auto* given_up = std::get_if<wire::job_cancel>(&message))
         withdraw_owned(given_up->job, host, now);
 }
 
-void fleet_host::handle_order(const std::string& from, const wire::job_order& order, time_point now)
+void fleet_host::refuse_stale(const std::string& from, const wire::job_order& order, duration age,
+                              time_point now)
+{
+    ++metrics_.counter("chivewharf_stale_orders_total");
+    if (log_.should_log(order.job, now))
+        log_line{"order_stale"}
+            .add("job", order.job)
+            .add("attempt", order.attempt)
+            .add("from", from)
+            .add("age_ms", to_ms(age))
+            .write();
+    // The report brings the sender a recent reading of this host's clock.
+    report_cache reports{*this, now};
+    send_report(from, reports);
+    send_result(from, {order.job, order.attempt, wire::job_end::stale, 0}, now);
+}
+
+void fleet_host::handle_order(const std::string& from, wire::job_order order, time_point now)
 {
     if (from != self_.host && cancelled_.contains(order.job, now)) {
         peers_.send(from, wire::job_cancel{order.job, 0});
@@ -282,6 +304,12 @@
         send_result(from, {order.job, order.attempt, *end, 0}, now);
         return;
     }
+    const auto age = order_age(order, now).value_or(duration{0});
+    if (age > max_order_age) {
+        refuse_stale(from, order, age, now);
+        return;
+    }
+    count_transit(order, age);
     const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
         // A sender that does not know all workers yet is told of them before the answer.
@@ -292,7 +320,7 @@
         }
         const bool remote = sender == nullptr ? self_.domain != order.shard.domain
                                               : sender->record.domain != order.shard.domain;
-        found->second.owner->submit(order, from, now, remote);
+        found->second.owner->submit(std::move(order), from, now, remote);
         return;
     }
     send_result(from, {order.job, order.attempt, wire::job_end::not_owner, 0}, now);
@@ -809,6 +837,7 @@
     current.processor_milli = self_.processor_milli;
     current.domains = plan_.all();
     current.accepts_store_records = true;
+    current.clock_ms = to_ms(now.time_since_epoch());
     current.operator_offset = drains_.offset();
     current.drained_domains.assign(drains_.domains().begin(), drains_.domains().end());
     if (current.drained_domains.size() > wire::max_drained_domains)
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -189,8 +189,11 @@
     void reclaim(const wire::shard& shard, owned_shard& owned, time_point now);
     std::uint64_t next_epoch(const std::string& domain);
     std::uint64_t token(std::uint64_t epoch) const;
-    void send_to_owner(const std::string& host, const wire::message& message, time_point now);
-    void handle_order(const std::string& from, const wire::job_order& order, time_point now);
+    void send_to_owner(const std::string& host, wire::message message, time_point now);
+    void handle_order(const std::string& from, wire::job_order order, time_point now);
+    /// Refuses an order that may have been on its way for longer than `max_order_age`.
+    void refuse_stale(const std::string& from, const wire::job_order& order, duration age,
+                      time_point now);
     /// Sends a result to the host that waits for the job, which may be this one.
     void send_result(const std::string& host, const wire::job_result& result, time_point now);
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
--- a/modules/fleet/host_directory.cpp
+++ b/modules/fleet/host_directory.cpp
@@ -50,6 +50,7 @@
     if (view.incarnation != incarnation) {
         view.report.reset();
         view.workers.clear();
+        view.clock.reset();
     }
     view.worker_revision_sent = 0;
     view.incarnation = incarnation;
@@ -75,6 +76,8 @@
     if (found == hosts_.end())
         return;
     found->second.workers = worker_lists(report.claims, found->second.workers);
+    if (report.clock_ms != 0)
+        found->second.clock.observe(report.clock_ms, now);
     found->second.report = std::move(report);
     found->second.reported = now;
     found->second.last_heard = now;
--- a/modules/fleet/host_directory.h
+++ b/modules/fleet/host_directory.h
@@ -2,6 +2,7 @@
 
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/peer_clock.h>
 #include <fleet/report_schedule.h>
 #include <fleet/types.h>
 #include <map>
@@ -27,6 +28,7 @@
     std::optional<time_point> probed; ///< when an answer was requested that has not arrived yet
     std::optional<wire::host_report> report;
     time_point reported{};                             ///< when `report` arrived
+    peer_clock clock;                                  ///< of its process
     std::map<wire::shard, shared_worker_list> workers; ///< of the shards that it owns, if told
     std::uint64_t worker_revision_sent = 0; ///< newest revision of this host's workers sent there
 
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <fleet/job_run.h>
+#include <fleet/order_age.h>
 #include <fleet/report_schedule.h>
 #include <fleet/retry_schedule.h>
 #include <fleet/shard_owner.h>
@@ -16,13 +17,14 @@
 
 namespace {
 
-/// After this time without a link, no task of a lost owner runs any more. It is the sum of the time
-/// in which the owner notices the loss, the longest pause that it does not notice, the time for
-/// which it waits for the link before it stops the job, the lease after which a worker ends the
-/// tasks of a dead owner, and a margin.
-constexpr duration lost_owner_time_limit = short_silence_limit + shard_owner::max_pause +
-                                           shard_owner::orphan_grace + worker_session::max_lease +
-                                           milliseconds{100};
+/// After this time without a link, no task of a lost owner runs any more. It is the sum of the age
+/// up to which the owner accepts an order that was still on its way, the time in which it notices
+/// the loss, the longest pause that it does not notice, the time for which it waits for the link
+/// before it stops the job, the lease after which a worker ends the tasks of a dead owner, and a
+/// margin.
+constexpr duration lost_owner_time_limit = max_order_age + short_silence_limit +
+                                           shard_owner::max_pause + shard_owner::orphan_grace +
+                                           worker_session::max_lease + milliseconds{100};
 /// After this time, all tasks of an owner that has given up its claim have ended: the lease and a
 /// margin.
 constexpr duration abandoned_task_time_limit = worker_session::max_lease + milliseconds{100};
@@ -282,6 +284,21 @@
            job.told_retry.value_or(retry_after), now);
 }
 
+void job_router::on_stale(job_map::iterator entry, time_point now)
+{
+    auto& job = entry->second;
+    ++metrics_.counter("chivewharf_job_resends_total", "reason=\"stale\"");
+    if (!job.unsafe_owner) {
+        job.state = job_state::unsent;
+        dispatch(job, now);
+        return;
+    }
+    // The order was meant to restore the job at the process that may still have it.
+    job.state = job_state::unknown;
+    const auto owner = job.owner;
+    send_to(job, owner, now);
+}
+
 void job_router::result(const std::string& host, const wire::job_result& result, time_point now)
 {
     if (deferral_depth_ > 0) {
@@ -327,6 +344,9 @@
         job.safe_after_takeover = false;
         dispatch(job, now);
         return;
+    case wire::job_end::stale:
+        on_stale(found, now);
+        return;
     case wire::job_end::overloaded:
     case wire::job_end::not_owner:
     case wire::job_end::impossible:
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -29,7 +29,7 @@
     /// Sends a message to the owner on the given host, which may be this one. A result may come
     /// back before the function returns.
     using send_function =
-        std::function<void(const std::string& host, const wire::message&, time_point now)>;
+        std::function<void(const std::string& host, wire::message, time_point now)>;
 
     /// \param seed for the choice among owners with the same load
     job_router(std::string domain, caller_port& callers, metrics::registry& metrics,
@@ -147,6 +147,8 @@
         return end_by_ && now >= *end_by_ && job.deadline >= *end_by_;
     }
     void send_to(routed_job& job, const owner_view& owner, time_point now);
+    /// The owner has refused the order because of its age: sends it again, at once.
+    void on_stale(job_map::iterator job, time_point now);
     void on_refusal(job_map::iterator job, wire::job_end reason, duration retry_after,
                     time_point now);
     void finish(job_map::iterator job, job_answer answer, std::string_view reason,
--- a/modules/fleet/tests/fleet_simulation.cpp
+++ b/modules/fleet/tests/fleet_simulation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
+#include <iterator>
 #include <tuple>
 
 namespace chivewharf::fleet {
@@ -19,6 +21,18 @@
 /// No task may start this long after the acknowledgement of its job's cancellation.
 constexpr duration cancellation_limit = seconds{3};
 
+// Where the input of a process comes from. What one source delivers stays in order.
+const std::string worker_source = "workers";
+const std::string caller_source = "callers";
+const std::string store_source = "store";
+const std::string dial_source = "links to open";
+const std::string tick_source = "tick";
+
+std::string link_source(const std::string& peer)
+{
+    return "link to " + peer;
+}
+
 std::string config_text(std::uint64_t version)
 {
     return std::to_string(version);
@@ -73,10 +87,11 @@
         const auto limit = simulation.now_ + order.wait + order_timeout;
         auto answer = [&simulation, host = host_, incarnation = incarnation_,
                        reply](status_reply got) {
-            simulation.deliver(host, incarnation, [&simulation, reply, got]() mutable {
-                got.received = simulation.now_;
-                reply(got);
-            });
+            simulation.deliver(host, incarnation, worker_source,
+                               [&simulation, reply, got]() mutable {
+                                   got.received = simulation.now_;
+                                   reply(got);
+                               });
         };
         simulation.schedule(
             simulation.now_ + network_delay,
@@ -110,10 +125,11 @@
         const auto limit = simulation.now_ + order_timeout;
         auto answer = [&simulation, host = host_, incarnation = incarnation_,
                        reply](order_reply got) {
-            simulation.deliver(host, incarnation, [&simulation, reply, got]() mutable {
-                got.received = simulation.now_;
-                reply(got);
-            });
+            simulation.deliver(host, incarnation, worker_source,
+                               [&simulation, reply, got]() mutable {
+                                   got.received = simulation.now_;
+                                   reply(got);
+                               });
         };
         const auto& worker = simulation.workers_.at(order.to.id);
         if (uniform(simulation.random_) < worker.fault.late_orders) {
@@ -161,7 +177,11 @@
     }
 
     void send(const std::string& to, const wire::message& message) override;
-    void drop(const std::string& to) override { simulation_.unlink(host_, to); }
+    void drop(const std::string& to) override
+    {
+        simulation_.deliver_deferred(host_, link_source(to));
+        simulation_.unlink(host_, to);
+    }
 
 private:
     fleet_simulation& simulation_;
@@ -199,9 +219,10 @@
     bool announced = false; ///< the store has assigned it a number
     std::uint64_t shown_config = 0;
     std::uint64_t next_request = 1;
-    std::uint64_t sent = 0; ///< messages to other hosts
-    std::set<std::string> linked;
-    std::vector<std::function<void()>> deferred_calls;
+    std::uint64_t sent = 0;                     ///< messages to other hosts
+    std::map<std::string, std::uint64_t> links; ///< number of the link to each linked host
+    /// Input that has arrived while the process was frozen, by source.
+    std::map<std::string, std::deque<std::function<void()>>> deferred;
     std::unique_ptr<metrics::registry> metrics;
     std::unique_ptr<sim_worker_port> workers;
     std::unique_ptr<sim_peer_port> peers;
@@ -215,24 +236,21 @@
 {
     auto& simulation = simulation_;
     const auto& from = *simulation.hosts_.at(host_);
-    const auto& target = *simulation.hosts_.at(to);
-    if (!from.linked.contains(to))
+    const auto link = from.links.find(to);
+    if (link == from.links.end())
         return;
     ++simulation.hosts_.at(host_)->sent;
     if (std::holds_alternative<wire::config_record>(message))
         ++simulation.config_records_;
-    simulation.schedule(simulation.now_ + network_delay,
-                        [&simulation, host = host_, to, message, incarnation = target.incarnation,
-                         from_incarnation = from.incarnation] {
-                            if (simulation.path_cut(host, to) ||
-                                simulation.hosts_.at(host)->incarnation != from_incarnation)
-                                return;
-                            simulation.deliver(to, incarnation, [&simulation, host, to, message] {
-                                auto& receiver = *simulation.hosts_.at(to);
-                                if (receiver.linked.contains(host))
-                                    receiver.core->peer_message(host, message, simulation.now_);
-                            });
-                        });
+    simulation.transmit(host_, to, [&simulation, host = host_, to, message, number = link->second] {
+        simulation.deliver(to, simulation.hosts_.at(to)->incarnation, link_source(host),
+                           [&simulation, host, to, message, number] {
+                               auto& receiver = *simulation.hosts_.at(to);
+                               const auto found = receiver.links.find(host);
+                               if (found != receiver.links.end() && found->second == number)
+                                   receiver.core->peer_message(host, message, simulation.now_);
+                           });
+    });
 }
 
 fleet_simulation::fleet_simulation(options chosen)
@@ -294,17 +312,38 @@
 }
 
 void fleet_simulation::deliver(const std::string& name, std::uint64_t incarnation,
-                               std::function<void()> call)
+                               const std::string& source, std::function<void()> call)
 {
     auto& host = *hosts_.at(name);
     if (!host.alive || host.incarnation != incarnation)
         return;
-    if (host.frozen)
-        host.deferred_calls.push_back(std::move(call));
+    // While a process that has woken reads its input, nothing overtakes on the same source.
+    if (host.frozen || host.deferred.contains(source))
+        host.deferred[source].push_back(std::move(call));
     else
         call();
 }
 
+bool fleet_simulation::deliver_next_deferred(const std::string& name, const std::string& source)
+{
+    auto& host = *hosts_.at(name);
+    const auto found = host.deferred.find(source);
+    if (found == host.deferred.end())
+        return false;
+    const auto call = std::move(found->second.front());
+    found->second.pop_front();
+    if (found->second.empty())
+        host.deferred.erase(found);
+    call();
+    return true;
+}
+
+void fleet_simulation::deliver_deferred(const std::string& name, const std::string& source)
+{
+    while (deliver_next_deferred(name, source)) {
+    }
+}
+
 void fleet_simulation::boot(const std::string& name)
 {
     auto& host = *hosts_.at(name);
@@ -317,8 +356,8 @@
     host.frozen = false;
     host.announced = false;
     host.shown_config = 0;
-    host.deferred_calls.clear();
-    host.linked.clear();
+    host.deferred.clear();
+    host.links.clear();
     host.metrics = std::make_unique<metrics::registry>();
     host.workers = std::make_unique<sim_worker_port>(*this, name, host.incarnation);
     host.peers = std::make_unique<sim_peer_port>(*this, name);
@@ -335,7 +374,8 @@
     tick(name, host.incarnation);
     const auto incarnation = host.incarnation;
     schedule(now_ + milliseconds{10}, [this, name, incarnation] {
-        deliver(name, incarnation, [this, name] { deliver_store_records(*hosts_.at(name)); });
+        deliver(name, incarnation, store_source,
+                [this, name] { deliver_store_records(*hosts_.at(name)); });
     });
 }
 
@@ -381,44 +421,102 @@
             host.core->fence_base_granted(next_number_++);
     }
     schedule(now_ + store_interval, [this, name = host.name, incarnation = host.incarnation] {
-        deliver(name, incarnation, [this, name] { deliver_store_records(*hosts_.at(name)); });
+        deliver(name, incarnation, store_source,
+                [this, name] { deliver_store_records(*hosts_.at(name)); });
     });
 }
 
 void fleet_simulation::link_hosts()
 {
-    for (auto& [a, first] : hosts_) {
-        for (auto& [b, second] : hosts_) {
-            if (a >= b || !first->alive || !second->alive || first->frozen || second->frozen ||
-                (first->linked.contains(b) && second->linked.contains(a)) || path_cut(a, b) ||
-                path_cut(b, a))
-                continue;
-            // A new link replaces one that only this end still has.
-            if (!first->linked.insert(b).second)
-                first->core->peer_unlinked(b, now_);
-            if (!second->linked.insert(a).second)
-                second->core->peer_unlinked(a, now_);
-            first->core->peer_linked(b, second->domain, second->incarnation, now_);
-            second->core->peer_linked(a, first->domain, first->incarnation, now_);
+    for (const auto& [a, first] : hosts_) {
+        for (const auto& [b, second] : hosts_) {
+            if (a < b)
+                link_pair(a, b);
         }
     }
     schedule(now_ + milliseconds{150}, [this] { link_hosts(); });
 }
 
-void fleet_simulation::unlink(const std::string& a, const std::string& b)
+void fleet_simulation::link_pair(const std::string& a, const std::string& b)
 {
-    const auto lose = [this](const std::string& from, const std::string& to) {
-        auto& host = *hosts_.at(from);
-        deliver(from, host.incarnation, [this, from, to] {
-            auto& one = *hosts_.at(from);
-            if (one.linked.erase(to) > 0)
-                one.core->peer_unlinked(to, now_);
-        });
+    auto& first = *hosts_.at(a);
+    auto& second = *hosts_.at(b);
+    const auto to_second = first.links.find(b);
+    const auto to_first = second.links.find(a);
+    const bool linked = to_second != first.links.end() && to_first != second.links.end() &&
+                        to_second->second == to_first->second;
+    if (linked || !first.alive || !second.alive || first.frozen || second.frozen ||
+        path_cut(a, b) || path_cut(b, a))
+        return;
+    // A new link replaces one that only this end still has. What has arrived on that one is read
+    // before.
+    const auto number = ++next_link_;
+    const auto end_old_link = [this](sim_host& host, const std::string& peer) {
+        deliver_deferred(host.name, link_source(peer));
+        if (host.links.erase(peer) > 0)
+            host.core->peer_unlinked(peer, now_);
     };
-    lose(a, b);
-    // The other side learns of it only if the path is not cut.
-    if (!path_cut(a, b))
-        schedule(now_ + network_delay, [lose, a, b] { lose(b, a); });
+    end_old_link(first, b);
+    end_old_link(second, a);
+    first.links[b] = number;
+    second.links[a] = number;
+    first.core->peer_linked(b, second.domain, second.incarnation, now_);
+    second.core->peer_linked(a, first.domain, first.incarnation, now_);
+}
+
+void fleet_simulation::transmit(const std::string& from, const std::string& to,
+                                std::function<void()> arrival)
+{
+    schedule(now_ + network_delay, [this, from, to, arrival = std::move(arrival)] {
+        const held_traffic::path path{from, to};
+        if (!path_cut(from, to) && !held_.holds(path)) {
+            arrival();
+            return;
+        }
+        held_.hold(path, now_, arrival);
+        schedule(now_ + held_traffic::unacknowledged_limit, [this, path] { give_up(path); });
+    });
+}
+
+void fleet_simulation::give_up(const held_traffic::path& path)
+{
+    if (!held_.give_up(path, now_))
+        return;
+    const auto& [from, to] = path;
+    // The sender's connection breaks. The receiver learns of it when the path is back.
+    unlink(from, to);
+}
+
+void fleet_simulation::release_held(const std::string& from, const std::string& to)
+{
+    if (path_cut(from, to))
+        return;
+    for (const auto& arrival : held_.release({from, to}))
+        arrival();
+}
+
+void fleet_simulation::unlink(const std::string& a, const std::string& b)
+{
+    auto& host = *hosts_.at(a);
+    const auto link = host.links.find(b);
+    if (link == host.links.end())
+        return;
+    const auto number = link->second;
+    end_link(a, b, number);
+    transmit(a, b, [this, a, b, number] { end_link(b, a, number); });
+}
+
+void fleet_simulation::end_link(const std::string& name, const std::string& peer,
+                                std::uint64_t number)
+{
+    deliver(name, hosts_.at(name)->incarnation, link_source(peer), [this, name, peer, number] {
+        auto& host = *hosts_.at(name);
+        const auto link = host.links.find(peer);
+        if (link == host.links.end() || link->second != number)
+            return;
+        host.links.erase(link);
+        host.core->peer_unlinked(peer, now_);
+    });
 }
 
 void fleet_simulation::kill(const std::string& name)
@@ -426,11 +524,11 @@
     auto& host = *hosts_.at(name);
     if (!host.alive)
         return;
+    // The kernel still delivers what the process has sent, and ends its connections after that.
+    for (const auto& [peer, number] : std::exchange(host.links, {}))
+        transmit(name, peer,
+                 [this, name, peer = peer, number = number] { end_link(peer, name, number); });
     host.alive = false;
-    for (const auto& [other, one] : hosts_) {
-        if (one->linked.contains(name))
-            unlink(other, name);
-    }
     // The callers' connections break.
     const auto open = std::exchange(host.callers->jobs, {});
     for (const auto& [request, job] : open)
@@ -443,25 +541,46 @@
     host.frozen = frozen;
     if (frozen || !host.alive)
         return;
-    const auto deferred = std::exchange(host.deferred_calls, {});
-    for (const auto& call : deferred)
-        call();
+    // Other hosts have dialled meanwhile, and the tick is overdue.
+    host.deferred[dial_source].push_back([this, name] {
+        for (const auto& [other, one] : hosts_) {
+            if (other != name)
+                link_pair(std::min(name, other), std::max(name, other));
+        }
+    });
+    host.deferred[tick_source].push_back([this, name] {
+        // As in the daemon, a late tick is preceded by what has arrived on the links.
+        for (const auto& [other, one] : hosts_)
+            deliver_deferred(name, link_source(other));
+        hosts_.at(name)->core->tick(now_);
+    });
+    while (!host.deferred.empty()) {
+        auto source = host.deferred.begin();
+        std::advance(source, std::uniform_int_distribution<std::size_t>{0, host.deferred.size() -
+                                                                               1}(random_));
+        deliver_next_deferred(name, std::string{source->first});
+    }
 }
 
 void fleet_simulation::cut(const std::string& a, const std::string& b, bool cut_off)
 {
-    if (cut_off)
+    if (cut_off) {
         cut_hosts_.insert(std::minmax(a, b));
-    else
-        cut_hosts_.erase(std::minmax(a, b));
+        return;
+    }
+    cut_hosts_.erase(std::minmax(a, b));
+    release_held(a, b);
+    release_held(b, a);
 }
 
 void fleet_simulation::cut_direction(const std::string& from, const std::string& to, bool cut_off)
 {
-    if (cut_off)
+    if (cut_off) {
         cut_directions_.emplace(from, to);
-    else
-        cut_directions_.erase({from, to});
+        return;
+    }
+    cut_directions_.erase({from, to});
+    release_held(from, to);
 }
 
 bool fleet_simulation::path_cut(const std::string& from, const std::string& to) const
@@ -709,13 +828,18 @@
     one.id = job;
     one.first = now_;
     specifications_[job] = {std::move(steps), time_limit};
-    first_hosts_[job] = {host};
+    chosen_hosts_[job] = {host};
     attempt(job);
 }
 
+void fleet_simulation::resend_to(const std::string& job, const std::string& host)
+{
+    chosen_hosts_.at(job).push_back(host);
+}
+
 void fleet_simulation::cancel(const std::string& job, const std::string& host)
 {
-    deliver(host, hosts_.at(host)->incarnation, [this, job, host] {
+    deliver(host, hosts_.at(host)->incarnation, caller_source, [this, job, host] {
         hosts_.at(host)->core->cancel(job, now_);
         const auto found = jobs_.find(job);
         if (found != jobs_.end())
@@ -727,9 +851,10 @@
 {
     auto& one = jobs_.at(job);
     const auto attempt_number = ++one.attempts;
-    auto name = first_hosts_.at(job).front();
-    if (attempt_number > 1 || !hosts_.at(name)->alive) {
-        // The load balancer sends a later attempt to any live host.
+    const auto& chosen = chosen_hosts_.at(job);
+    auto name = chosen[std::min<std::size_t>(attempt_number, chosen.size()) - 1];
+    if (attempt_number > chosen.size() || !hosts_.at(name)->alive) {
+        // The load balancer sends further attempts to any live host.
         std::vector<std::string> live;
         for (const auto& [host, state] : hosts_) {
             if (state->alive && !state->frozen)
@@ -742,7 +867,7 @@
         name = live[std::uniform_int_distribution<std::size_t>{0, live.size() - 1}(random_)];
     }
     const auto& [steps, time_limit] = specifications_.at(job);
-    deliver(name, hosts_.at(name)->incarnation, [this, name, job, attempt_number] {
+    deliver(name, hosts_.at(name)->incarnation, caller_source, [this, name, job, attempt_number] {
         auto& host = *hosts_.at(name);
         // A host that thaws sees that the caller has closed its connection.
         const auto& waiting = jobs_.at(job);
@@ -775,7 +900,7 @@
                 continue;
             const auto number = it->first;
             host.callers->jobs.erase(it);
-            deliver(name, host.incarnation, [this, name, number] {
+            deliver(name, host.incarnation, caller_source, [this, name, number] {
                 hosts_.at(name)->core->router().caller_left(number, now_);
             });
             break;
--- a/modules/fleet/tests/fleet_simulation.h
+++ b/modules/fleet/tests/fleet_simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "held_traffic.h"
+
 #include <base/rng.h>
 #include <cstdint>
 #include <fleet/fleet.h>
@@ -55,6 +57,8 @@
     /// Submits a job to a host now. The caller submits it again if its answer is lost.
     void submit(const std::string& job, const std::string& host, std::vector<wire::job_step> steps,
                 duration time_limit = seconds{2}, std::uint32_t priority = 0);
+    /// The caller's next attempt goes to this host. Attempts beyond the chosen ones go to any.
+    void resend_to(const std::string& job, const std::string& host);
     /// The caller cancels the job at a host, which may not be the one that took it.
     void cancel(const std::string& job, const std::string& host);
     void at(duration in, std::function<void()> call);
@@ -62,8 +66,11 @@
     // Faults.
     void kill(const std::string& host);
     void boot(const std::string& host);
+    /// Stops or resumes the process. When it resumes, its tick, the links that were dialled, and
+    /// the input of each source come in a random order; what one source delivers stays in order.
     void freeze(const std::string& host, bool frozen);
-    /// Cuts or restores the path between two hosts; a cut link drops messages silently.
+    /// Cuts or restores the path between two hosts. What is sent meanwhile arrives when the path is
+    /// back, up to `held_traffic::unacknowledged_limit`.
     void cut(const std::string& a, const std::string& b, bool cut);
     /// Cuts or restores the path from one host to another; the path back is not changed. As with
     /// TCP, no link can be opened between them while one direction is cut.
@@ -131,13 +138,29 @@
     };
 
     void schedule(time_point when, std::function<void()> call);
-    /// Runs the call in the host if it is still the same process: at once, or when it thaws if it
+    /// Runs the call in the host if it is still the same process: at once, or when it resumes if it
     /// is frozen.
-    void deliver(const std::string& host, std::uint64_t incarnation, std::function<void()> call);
+    /// \param source of the input
+    void deliver(const std::string& host, std::uint64_t incarnation, const std::string& source,
+                 std::function<void()> call);
+    /// Runs the oldest call that the source delivered while the process was frozen.
+    /// \return false if there is none
+    bool deliver_next_deferred(const std::string& host, const std::string& source);
+    void deliver_deferred(const std::string& host, const std::string& source);
     void tick(const std::string& host, std::uint64_t incarnation);
     void deliver_store_records(sim_host& host);
     void link_hosts();
+    /// Links two hosts that are not linked, if their processes and the path permit it.
+    void link_pair(const std::string& a, const std::string& b);
+    /// Sends bytes from one host to another. They arrive after what was sent before.
+    void transmit(const std::string& from, const std::string& to, std::function<void()> arrival);
+    /// The sender's kernel closes the connection if held bytes have reached their limit.
+    void give_up(const held_traffic::path& path);
+    void release_held(const std::string& from, const std::string& to);
+    /// The first host closes its end of the link; the other end learns of it later.
     void unlink(const std::string& a, const std::string& b);
+    /// Ends a host's side of the link with the number.
+    void end_link(const std::string& host, const std::string& peer, std::uint64_t number);
     /// True if messages from one host do not arrive at the other.
     bool path_cut(const std::string& from, const std::string& to) const;
     void start_on(sim_worker& worker, const start_order& order, order_reply& reply);
@@ -162,9 +185,11 @@
     std::map<std::string, std::vector<pending_poll>> pending_polls_;
     std::map<std::string, caller_job> jobs_;
     std::map<std::string, std::pair<std::vector<wire::job_step>, duration>> specifications_;
-    std::map<std::string, std::vector<std::string>> first_hosts_; ///< by job
-    std::map<std::string, std::uint32_t> priorities_;             ///< by job, if not 0
+    std::map<std::string, std::vector<std::string>> chosen_hosts_; ///< by job and attempt
+    std::map<std::string, std::uint32_t> priorities_;              ///< by job, if not 0
     std::set<std::pair<std::string, std::string>> cut_hosts_;
+    held_traffic held_;
+    std::uint64_t next_link_ = 0;
     std::set<std::string> cut_from_workers_;
     std::set<std::pair<std::string, std::string>> cut_from_domains_; ///< host and workers' domain
     std::vector<std::string> violations_;
--- /dev/null
+++ b/modules/fleet/tests/late_input_test.cpp
@@ -0,0 +1,164 @@
+#include "fleet_simulation.h"
+
+#include <gtest/gtest.h>
+
+namespace chivewharf::fleet {
+namespace {
+
+const time_point start{seconds{100}};
+
+wire::job_step long_step(std::uint32_t count)
+{
+    wire::job_step one;
+    one.count = count;
+    one.cpu_milli = 6000;
+    one.memory_mb = 64;
+    one.estimate_ms = 1300;
+    return one;
+}
+
+/// Cuts or restores the paths between the hosts of two domains.
+void cut_domains(fleet_simulation& simulation, const std::string& a, const std::string& b, bool cut)
+{
+    for (const auto& host : simulation.host_names()) {
+        for (const auto& other : simulation.host_names()) {
+            if (host.starts_with(a) && other.starts_with(b))
+                simulation.cut(host, other, cut);
+        }
+    }
+}
+
+// Guards against two runs of a task: a cut holds an order back, its sender gives the owner up and
+// the job runs elsewhere, and the owner starts the order when the cut ends.
+TEST(late_input, order_that_a_cut_held_back_starts_nothing)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fleet_simulation::options options;
+        options.hosts = {3, 2};
+        options.seed = seed;
+        fleet_simulation simulation{options};
+        simulation.run_for(seconds{3});
+        // Jobs of domain 0 go to the owner of domain 1.
+        simulation.drain("domain-0", true);
+        simulation.run_for(seconds{2});
+        cut_domains(simulation, "host-0", "host-1", true);
+        const auto before = simulation.starts();
+        simulation.submit("a", "host-0-1", {long_step(2)}, milliseconds{1500});
+        simulation.resend_to("a", "host-0-2");
+        simulation.run_for(milliseconds{300});
+        ASSERT_EQ(simulation.starts(), before);
+        simulation.drain("domain-0", false);
+        simulation.run_for(seconds{3});
+        ASSERT_EQ(simulation.starts(), before + 2) << "the second attempt runs in domain 0";
+        cut_domains(simulation, "host-0", "host-1", false);
+        simulation.run_for(seconds{4});
+        EXPECT_EQ(simulation.violations(), std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(simulation.starts(), before + 2);
+        EXPECT_EQ(simulation.jobs().at("a").answers.back(), "completed");
+    }
+}
+
+// Guards against orders that look younger than they are: a reading that was on its way for long
+// must not lower the bound, and the bound must not run ahead of a slower clock.
+TEST(peer_clock, bound_comes_from_the_reading_that_was_fastest)
+{
+    peer_clock clock;
+    EXPECT_EQ(clock.at_least(start), std::nullopt);
+    clock.observe(5000, start);
+    EXPECT_EQ(clock.at_least(start + milliseconds{100}), 5099);
+    clock.observe(5050, start + milliseconds{900}); // 850 ms on its way
+    EXPECT_EQ(clock.at_least(start + seconds{1}), 5999);
+    clock.observe(6050, start + seconds{1}); // faster than the first
+    EXPECT_EQ(clock.at_least(start + seconds{1}), 6050);
+    EXPECT_EQ(clock.at_least(start + seconds{1001}), 6050 + 999'000);
+    clock.reset();
+    EXPECT_EQ(clock.at_least(start), std::nullopt);
+}
+
+// Guards against an order whose job is given more time than its caller has left, and against orders
+// of an earlier version, which state no time, that are taken for old.
+TEST(order_age, time_on_the_way_is_taken_from_the_time_left)
+{
+    peer_clock receiver;
+    wire::job_order order;
+    order.remaining_ms = 300;
+    stamp(order, receiver, start);
+    EXPECT_EQ(order_age(order, start), std::nullopt);
+    receiver.observe(to_ms(start.time_since_epoch()), start);
+    stamp(order, receiver, start);
+    EXPECT_EQ(order_age(order, start + milliseconds{120}), milliseconds{120});
+    EXPECT_EQ(order_age(order, start - milliseconds{1}), duration{0});
+    count_transit(order, milliseconds{120});
+    EXPECT_EQ(order.remaining_ms, 180U);
+    EXPECT_EQ(order.age_ms, 120U);
+    count_transit(order, seconds{1});
+    EXPECT_EQ(order.remaining_ms, 0U);
+}
+
+/// A host that owns the only shard, and records what it sends to other hosts.
+struct owner_host_fixture final : public peer_port, public caller_port {
+    class no_workers final : public worker_port {
+    public:
+        void start(start_order, std::function<void(const order_reply&)>) override {}
+        void stop(stop_order, std::function<void(const order_reply&)>) override {}
+        void poll_status(status_request, std::function<void(status_reply)>) override {}
+    };
+
+    owner_host_fixture()
+        : host{{"owner", "d", "10.0.0.1:1", 1, 250},
+               {"d"},
+               workers,
+               *this,
+               *this,
+               metrics,
+               [](const std::string&) -> result<cluster_config, std::string> {
+                   return cluster_config{};
+               },
+               start}
+    {
+        host.host_listed({"entry", "d", "10.0.0.2:1"}, start);
+        host.peer_linked("entry", "d", 2, start);
+        sent.clear();
+    }
+
+    void send(const std::string& /*to*/, const wire::message& message) override
+    {
+        sent.push_back(message);
+    }
+    void drop(const std::string& /*to*/) override {}
+    void answer(std::uint64_t, job_answer, duration) override {}
+
+    no_workers workers;
+    metrics::registry metrics;
+    std::vector<wire::message> sent;
+    fleet_host host;
+};
+
+// Guards against a refused order whose sender has no newer reading of the owner's clock, so that it
+// is refused again and again.
+TEST(late_input, stale_order_is_refused_after_a_report_with_the_clock)
+{
+    owner_host_fixture fixture;
+    wire::job_order order;
+    order.job = "a";
+    order.attempt = 3;
+    order.shard = {"d", 0, 1};
+    order.sent_at_ms = to_ms(start.time_since_epoch());
+    const auto now = start + max_order_age + milliseconds{1};
+    fixture.host.peer_message("entry", order, now);
+    ASSERT_EQ(fixture.sent.size(), 2U);
+    const auto* report = std::get_if<wire::host_report>(&fixture.sent[0]);
+    ASSERT_NE(report, nullptr);
+    EXPECT_EQ(report->clock_ms, to_ms(now.time_since_epoch()));
+    const auto* refusal = std::get_if<wire::job_result>(&fixture.sent[1]);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(*refusal, (wire::job_result{"a", 3, wire::job_end::stale, 0}));
+    EXPECT_EQ(fixture.metrics.counter("chivewharf_stale_orders_total"), 1U);
+
+    // An order of the maximum age is judged as any other.
+    fixture.host.peer_message("entry", order, start + max_order_age);
+    EXPECT_EQ(std::get<wire::job_result>(fixture.sent.back()).end, wire::job_end::not_owner);
+}
+
+} // namespace
+} // namespace chivewharf::fleet
--- a/modules/fleet/tests/owner_choice_test.cpp
+++ b/modules/fleet/tests/owner_choice_test.cpp
@@ -284,6 +284,19 @@
 using answers_t = std::vector<router_fixture::answer_record>;
 using hosts_t = std::vector<std::string>;
 
+// Guards against a job that fails, or waits, because its order came to the owner too late.
+TEST(job_router, order_that_was_refused_as_stale_is_sent_again_at_once)
+{
+    router_fixture fixture;
+    fixture.owners = {view_with_room("a", 0, 0, {{0, 20}})};
+    fixture.submit("j");
+    fixture.answer_job("j", wire::job_end::stale, 0);
+    EXPECT_EQ(fixture.asked, (hosts_t{"a-0", "a-0"}));
+    EXPECT_TRUE(fixture.answers.empty());
+    fixture.answer_job("j", wire::job_end::completed, 0);
+    EXPECT_EQ(fixture.answers, (answers_t{{job_answer::completed, 0}}));
+}
+
 // Guards against refused jobs that are passed from one full owner to the next, while their callers
 // wait.
 TEST(job_router, refused_job_goes_only_to_owners_that_can_start_it_in_time)
--- a/modules/wire/frame_codec.cpp
+++ b/modules/wire/frame_codec.cpp
@@ -198,7 +198,7 @@
                                 m.priority, m.max_attempts, m.stretch, m.target_ms, m.age_ms,
                                 m.remaining_ms, bytes(b, m.payload), b.CreateVector(steps),
                                 text(b, m.shard.domain), m.shard.index, m.shard.count,
-                                m.worker_revision);
+                                m.worker_revision, m.sent_at_ms);
 }
 
 auto write(FlatBufferBuilder& b, const job_result& m)
@@ -239,10 +239,10 @@
     domains.reserve(m.domains.size());
     for (const auto& known : m.domains)
         domains.push_back(fbs::Createdomain_shards(b, text(b, known.domain), known.count));
-    return fbs::Createhost_report(b, m.fence_base, m.known_config, m.leaving, m.able,
-                                  b.CreateVector(claims), m.processor_milli,
-                                  b.CreateVector(domains), m.accepts_store_records,
-                                  m.operator_offset, b.CreateVectorOfStrings(m.drained_domains));
+    return fbs::Createhost_report(
+        b, m.fence_base, m.known_config, m.leaving, m.able, b.CreateVector(claims),
+        m.processor_milli, b.CreateVector(domains), m.accepts_store_records, m.operator_offset,
+        b.CreateVectorOfStrings(m.drained_domains), m.clock_ms);
 }
 
 auto write(FlatBufferBuilder& b, const host_records& m)
@@ -567,6 +567,7 @@
     m.age_ms = t.age_ms();
     m.remaining_ms = t.remaining_ms();
     m.worker_revision = t.worker_revision();
+    m.sent_at_ms = t.sent_at_ms();
     if (t.steps() == nullptr || t.steps()->size() > max_job_steps)
         return false;
     for (const auto* step : *t.steps()) {
@@ -638,6 +639,7 @@
             return false;
     }
     m.operator_offset = t.operator_offset();
+    m.clock_ms = t.clock_ms();
     if (t.drained_domains() == nullptr)
         return true;
     return t.drained_domains()->size() <= max_drained_domains &&
--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -289,6 +289,9 @@
     /// Newest revision of the owner's workers that the sender knows: no task may start on a worker
     /// that the owner has added since. 0: on any.
     std::uint64_t worker_revision = 0;
+    /// Reading of the receiver's clock in milliseconds, CLOCK_BOOTTIME, that was reached before the
+    /// order was sent. It bounds the time for which the order was on its way. 0: not told.
+    std::int64_t sent_at_ms = 0;
     bool operator==(const job_order&) const = default;
 };
 
@@ -299,6 +302,8 @@
 ///  - `abandoned`: tasks were started and may run until their lease expires or the domain's next
 ///    owner stops them.
 ///  - `expired`: the caller's deadline passed after tasks had been started.
+///  - `stale`: the order may have been on its way for too long; it started no task. Only sent in
+///    reply to an order that states `sent_at_ms`.
 enum class job_end : std::uint8_t {
     completed,
     failed,
@@ -307,7 +312,8 @@
     impossible,
     interrupted,
     abandoned,
-    expired
+    expired,
+    stale
 };
 
 /// Reply to `job_order`.
@@ -382,6 +388,8 @@
     /// End of the part of the operators' topic that `drained_domains` is based on; 0: not told.
     std::uint64_t operator_offset = 0;
     std::vector<std::string> drained_domains{}; ///< failure domains in which no task may start
+    /// Reading of the sender's clock in milliseconds, CLOCK_BOOTTIME; 0: not told.
+    std::int64_t clock_ms = 0;
     bool operator==(const host_report&) const = default;
 };
 
@@ -448,9 +456,9 @@
 
 template <>
 struct enum_names<wire::job_end> {
-    static constexpr std::array<std::string_view, 8> names{"completed", "failed",     "overloaded",
+    static constexpr std::array<std::string_view, 9> names{"completed", "failed",     "overloaded",
                                                            "not_owner", "impossible", "interrupted",
-                                                           "abandoned", "expired"};
+                                                           "abandoned", "expired",    "stale"};
 };
 
 template <>
