Send and start no job whose time is over

Cause: when a link is back, the router restored jobs at their owner without looking at their deadlines, which only the tick judged. After a freeze the link can be ready before the first tick. The owner took the order without time left for a new job and started it before its own next tick.

Evidence: the woken host logs job_owner_lost, job_sent (attempt=2, age_ms=3648, of a job received with remaining_ms=1500) and then job_answered why=deadline in one millisecond; the owner logs task_start 1 ms after that job_sent. Ruled out: a resend by the tick (job_answered comes after), and a job that the owner had kept (job_cancelled 950 ms after its arrival). job_sent now tells remaining_ms.

Fix: the router sends no job whose time is over, by whichever way; an owner answers an order without time left as `expired` and starts nothing; and a host whose tick is overdue by a pause does it before the first link or request that it handles. The last also keeps a request from joining the job of a caller who has left. It works since each sender and each receiver of an order now judges the time left when it acts, not at the next tick.

--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -228,6 +228,7 @@
 void fleet_host::peer_linked(const std::string& host, const std::string& domain,
                              std::uint64_t incarnation, time_point now)
 {
+    catch_up(now);
     directory_.linked(host, domain, incarnation, now);
     log_line{"host_linked"}
         .add("host", host)
@@ -310,6 +311,10 @@
         return;
     }
     count_transit(order, age);
+    if (order.remaining_ms == 0) {
+        send_result(from, {order.job, order.attempt, wire::job_end::expired, 0}, now);
+        return;
+    }
     const auto found = owned_.find(order.shard);
     if (found != owned_.end()) {
         // A sender that does not know all workers yet is told of them before the answer.
@@ -470,6 +475,7 @@
 result<const queue_config*, rejection>
 fleet_host::find_queue(const std::string& virtual_host, const std::string& path, time_point now)
 {
+    catch_up(now);
     const auto* queue = config_.find_queue(virtual_host, path);
     if (config_current(now) && queue != nullptr)
         return queue;
@@ -913,6 +919,12 @@
     }
 }
 
+void fleet_host::catch_up(time_point now)
+{
+    if (last_tick_ != time_point{} && now - last_tick_ > shard_owner::max_pause)
+        tick(now);
+}
+
 void fleet_host::drop_links_after_pause(time_point now)
 {
     const auto former = std::exchange(last_tick_, now);
@@ -1010,6 +1022,7 @@
     router_->tick(now);
     while (!owned_.empty())
         yield(wire::shard{owned_.begin()->first}, now);
+    last_tick_ = {};
 }
 
 bool fleet_host::drained() const
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -106,8 +106,8 @@
 
     // From callers.
 
-    /// Queue of a request, or why it is rejected. The pointer is valid until the configuration
-    /// changes.
+    /// Queue of a request, or why it is rejected. The pointer is valid until the next event. After
+    /// a pause of the process, what is overdue is done first.
     result<const queue_config*, rejection> find_queue(const std::string& virtual_host,
                                                       const std::string& path, time_point now);
     /// Accepts a job for the queue, or returns why it is rejected. The answer to the job is sent
@@ -222,6 +222,9 @@
     void interrupt_shards(time_point now);
     bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent_hosts(time_point now);
+    /// Does an overdue tick before the event that comes first after a pause of this process: jobs
+    /// whose time is over end, and links on which this host may have been given up are closed.
+    void catch_up(time_point now);
     /// After a pause of this process, closes the links to hosts that share jobs with it.
     void drop_links_after_pause(time_point now);
     bool can_claim(time_point now) const
@@ -260,7 +263,7 @@
     time_point leaving_since_{};
     time_point end_by_{}; ///< end of the planned stop's work; valid if `leaving_`
     time_point next_claim_check_{};
-    time_point last_tick_{};
+    time_point last_tick_{}; ///< zero before the first tick and after the last one
     bool workers_complete_ = false;
     bool leaving_ = false;
 };
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -196,6 +196,8 @@
 
 bool job_router::dispatch(routed_job& job, const std::vector<owner_view>& owners, time_point now)
 {
+    if (now >= job.deadline)
+        return false;
     const auto choice = choose_owner(job, owners, now);
     const auto* owner = choice.owner;
     if (owner == nullptr)
@@ -249,6 +251,7 @@
             .add("epoch", owner.epoch)
             .add("backlog_ms", to_ms(owner.backlog))
             .add("age_ms", job.order.age_ms)
+            .add("remaining_ms", job.order.remaining_ms)
             .write();
     send_(owner.host, job.order, now);
 }
@@ -295,6 +298,14 @@
     }
     // The order was meant to restore the job at the process that may still have it.
     job.state = job_state::unknown;
+    restore_at_owner(job, now);
+}
+
+void job_router::restore_at_owner(routed_job& job, time_point now)
+{
+    // Its caller has given it up and may have another host run it by now. The next tick ends it.
+    if (now >= job.deadline)
+        return;
     const auto owner = job.owner;
     send_to(job, owner, now);
 }
@@ -375,8 +386,7 @@
             job.owner.incarnation != incarnation)
             continue;
         // The same process still knows the job, or which of its tasks are still being stopped.
-        const auto owner = job.owner;
-        send_to(job, owner, now);
+        restore_at_owner(job, now);
     }
 }
 
--- a/modules/fleet/job_router.h
+++ b/modules/fleet/job_router.h
@@ -52,7 +52,7 @@
     void result(const std::string& host, const wire::job_result& result, time_point now);
     void host_lost(const std::string& host, time_point now);
     /// The link to a host is back. If it is still the same process, jobs whose state there is
-    /// unknown are sent to it again.
+    /// unknown are sent to it again, but for those whose time is over.
     void host_reconnected(const std::string& host, std::uint64_t incarnation, time_point now);
 
     /// Sets the failure domains that no job may be sent to.
@@ -120,7 +120,7 @@
     owner_choice choose_owner(const routed_job& job, const std::vector<owner_view>& owners,
                               time_point now);
     /// Sends the job to an owner.
-    /// \return false if no owner can be asked
+    /// \return false if no owner can be asked, or the job's time is over
     bool dispatch(routed_job& job, time_point now);
     bool dispatch(routed_job& job, const std::vector<owner_view>& owners, time_point now);
     /// Counts a job that is sent to another domain.
@@ -147,6 +147,8 @@
         return end_by_ && now >= *end_by_ && job.deadline >= *end_by_;
     }
     void send_to(routed_job& job, const owner_view& owner, time_point now);
+    /// Sends the job again to the process that may have it, unless the job's time is over.
+    void restore_at_owner(routed_job& job, time_point now);
     /// The owner has refused the order because of its age: sends it again, at once.
     void on_stale(job_map::iterator job, time_point now);
     void on_refusal(job_map::iterator job, wire::job_end reason, duration retry_after,
--- a/modules/fleet/tests/late_input_test.cpp
+++ b/modules/fleet/tests/late_input_test.cpp
@@ -58,6 +58,33 @@
     }
 }
 
+// Guards against two runs of a task: a host that was frozen wakes, its link to the owner is ready
+// before its first tick, and it sends the owner a job whose caller has left, while the caller's
+// next attempt is at work in another domain.
+TEST(late_input, job_whose_time_is_over_is_not_restored_after_a_pause)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fleet_simulation::options options;
+        options.hosts = {3, 2};
+        options.seed = seed;
+        fleet_simulation simulation{options};
+        simulation.run_for(seconds{3});
+        ASSERT_TRUE(simulation.claims("host-0-1").empty());
+        const auto before = simulation.starts();
+        simulation.submit("a", "host-0-1", {long_step(2)}, milliseconds{1500});
+        simulation.resend_to("a", "host-1-1");
+        simulation.run_for(milliseconds{150});
+        ASSERT_EQ(simulation.starts(), before + 2);
+        simulation.freeze("host-0-1", true);
+        simulation.run_for(milliseconds{3200});
+        ASSERT_EQ(simulation.starts(), before + 4) << "the second attempt runs in domain 1";
+        simulation.freeze("host-0-1", false);
+        simulation.run_for(seconds{4});
+        EXPECT_EQ(simulation.violations(), std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(simulation.starts(), before + 4) << "seed " << seed;
+    }
+}
+
 // Guards against orders that look younger than they are: a reading that was on its way for long
 // must not lower the bound, and the bound must not run ahead of a slower clock.
 TEST(peer_clock, bound_comes_from_the_reading_that_was_fastest)
@@ -111,9 +138,7 @@
                *this,
                *this,
                metrics,
-               [](const std::string&) -> result<cluster_config, std::string> {
-                   return cluster_config{};
-               },
+               [](const std::string&) { return decode_config(); },
                start}
     {
         host.host_listed({"entry", "d", "10.0.0.2:1"}, start);
@@ -126,11 +151,29 @@
         sent.push_back(message);
     }
     void drop(const std::string& /*to*/) override {}
-    void answer(std::uint64_t, job_answer, duration) override {}
+    void answer(std::uint64_t request, job_answer, duration) override
+    {
+        answered.push_back(request);
+    }
+
+    /// One queue, whose jobs may wait for a second before they are refused.
+    static result<cluster_config, std::string> decode_config()
+    {
+        cluster_config config;
+        config.version = 1;
+        queue_config queue;
+        queue.name = "q";
+        queue.host = "h";
+        queue.prefix = "/q/";
+        queue.target = seconds{1};
+        config.queues.push_back(queue);
+        return config;
+    }
 
     no_workers workers;
     metrics::registry metrics;
     std::vector<wire::message> sent;
+    std::vector<std::uint64_t> answered; ///< requests
     fleet_host host;
 };
 
@@ -156,9 +199,55 @@
     EXPECT_EQ(fixture.metrics.counter("chivewharf_stale_orders_total"), 1U);
 
     // An order of the maximum age is judged as any other.
+    order.remaining_ms = static_cast<std::uint32_t>(to_ms(max_order_age)) + 1;
     fixture.host.peer_message("entry", order, start + max_order_age);
     EXPECT_EQ(std::get<wire::job_result>(fixture.sent.back()).end, wire::job_end::not_owner);
 }
 
+// Guards against an owner that starts a job, or takes it from the host that waits for it, for a
+// caller that has left.
+TEST(late_input, order_without_time_left_starts_nothing)
+{
+    owner_host_fixture fixture;
+    wire::job_order order;
+    order.job = "a";
+    order.attempt = 2;
+    order.shard = {"d", 0, 1};
+    fixture.host.peer_message("entry", order, start);
+    EXPECT_EQ(std::get<wire::job_result>(fixture.sent.back()),
+              (wire::job_result{"a", 2, wire::job_end::expired, 0}));
+    // The time on the way counts.
+    order.remaining_ms = 80;
+    order.sent_at_ms = to_ms(start.time_since_epoch());
+    fixture.host.peer_message("entry", order, start + milliseconds{80});
+    EXPECT_EQ(std::get<wire::job_result>(fixture.sent.back()).end, wire::job_end::expired);
+    fixture.host.peer_message("entry", order, start + milliseconds{79});
+    EXPECT_EQ(std::get<wire::job_result>(fixture.sent.back()).end, wire::job_end::not_owner);
+}
+
+// Guards against a request that joins the attempt of a caller who left during a pause: it was
+// answered as lost by the next tick.
+TEST(late_input, request_after_a_pause_does_not_join_a_job_whose_time_is_over)
+{
+    owner_host_fixture fixture;
+    auto& host = fixture.host;
+    host.config_read("1", start);
+    const auto submit = [&host](std::uint64_t request, time_point now) {
+        const auto queue = host.find_queue("h", "/q/a", now);
+        ASSERT_TRUE(queue);
+        job_request job;
+        job.job = "a";
+        job.steps = {long_step(1)};
+        EXPECT_FALSE(host.submit(request, **queue, job, seconds{1}, now));
+    };
+    host.tick(start);
+    submit(1, start);
+    const auto woken = start + seconds{3};
+    submit(2, woken);
+    EXPECT_EQ(fixture.answered, (std::vector<std::uint64_t>{1}));
+    host.tick(woken + milliseconds{20});
+    EXPECT_EQ(fixture.answered, (std::vector<std::uint64_t>{1}));
+}
+
 } // namespace
 } // namespace chivewharf::fleet
