--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include <fleet/finished_jobs.h>
 #include <fleet/fleet_host.h>
 #include <fleet/host_directory.h>
+#include <fleet/host_identity.h>
 #include <fleet/job_queue.h>
 #include <fleet/job_router.h>
 #include <fleet/job_run.h>
@@ -37,6 +38,7 @@
 #include <fleet/retry_schedule.h>
 #include <fleet/run_time_model.h>
 #include <fleet/sent_tasks.h>
+#include <fleet/shard_claims.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
 #include <fleet/topic_follower.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -13,24 +13,6 @@
 
 namespace {
 
-/// Interval of the decisions about claims.
-constexpr duration claim_interval = milliseconds{60};
-/// A shard is offered to other hosts once one of them has been the better owner for this long.
-constexpr duration offer_delay = seconds{2};
-/// Number of low bits of a token, below the epoch, that hold the process's `fence_base_`.
-constexpr unsigned token_base_bits = 20;
-/// Epochs that a process can use before it reaches those of a process that starts later.
-constexpr std::uint64_t epochs_per_base = 16;
-/// Initial back-off before an owner whose token was refused acquires its workers under a higher
-/// one. It doubles each time, so that two owners that cannot reach each other do not keep stopping
-/// each other's tasks.
-constexpr duration initial_reclaim_delay = milliseconds{150};
-/// Maximum number of times that the back-off is doubled.
-constexpr std::uint32_t max_reclaim_shift = 4;
-/// The back-off is reset after this time without a refusal.
-constexpr duration reclaim_delay_reset = seconds{5};
-/// Maximum time that a leaving owner waits for a successor before it stops placing tasks.
-constexpr duration max_successor_wait = seconds{1};
 /// Minimum interval between requests for the list of known hosts, which is sent as links open.
 constexpr duration min_host_list_interval = milliseconds{200};
 /// Interval of these requests otherwise, in case the store does not answer.
@@ -60,7 +42,7 @@
             return *complete_;
         complete_ = brief();
         for (auto& claim : complete_->claims) {
-            const auto& ids = host_.owned_.at(claim.shard).owner->workers_in_use()->ids;
+            const auto& ids = host_.claims_.owned().at(claim.shard).owner->workers_in_use()->ids;
             // A longer list would not be accepted; receivers then rely on time limits.
             if (ids.size() <= wire::max_report_entries)
                 claim.workers.assign(ids.begin(), ids.end());
@@ -78,9 +60,11 @@
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
-    : self_{std::move(self)}, domains_{std::move(domains)}, worker_port_{workers}, peers_{peers},
-      callers_{callers}, metrics_{metrics}, decode_{std::move(decode)},
-      directory_{self_.domain}, policy_{self_.host, now}, probe_{workers, workers_}
+    : self_{std::move(self)}, domains_{std::move(domains)}, peers_{peers}, callers_{callers},
+      metrics_{metrics}, decode_{std::move(decode)}, directory_{self_.domain},
+      claims_{{self_, domains_, workers, metrics_, log_, directory_, workers_, drains_},
+              claim_callbacks(),
+              now}
 {
     router_ = std::make_unique<job_router>(
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
@@ -90,11 +74,20 @@
         self_.incarnation);
 }
 
-void fleet_host::fence_base_granted(std::uint64_t number)
+shard_claims::callbacks fleet_host::claim_callbacks()
 {
-    // 0 means that no number has been assigned.
-    fence_base_ = number + 1;
-    log_line{"fence_base"}.add("number", fence_base_).write();
+    shard_claims::callbacks callbacks;
+    callbacks.result = [this](const std::string& host, const wire::job_result& result,
+                              time_point at) {
+        finished_.add(result.job, result.end, at);
+        send_result(host, result, at);
+    };
+    callbacks.released = [this](const std::string& domain, const std::string& worker) {
+        broadcast(wire::worker_release{domain, worker});
+    };
+    callbacks.changed = [this](time_point at) { send_report(at); };
+    callbacks.config_current = [this](time_point at) { return config_current(at); };
+    return callbacks;
 }
 
 void fleet_host::config_read(const std::string& record, time_point now)
@@ -145,7 +138,7 @@
     // The other hosts must know the drain before they receive the jobs that it sends back.
     send_report(now);
     router_->set_drained_domains(drains_.domains(), all_domains_drained());
-    apply_drains(now);
+    claims_.apply_drains(now);
 }
 
 void fleet_host::log_unknown_drain(const std::string& domain, std::string_view source)
@@ -167,12 +160,6 @@
     }
 }
 
-void fleet_host::apply_drains(time_point now)
-{
-    for (auto& [shard, owned] : owned_)
-        owned.owner->set_usable_share(drains_.usable_share(shard.domain, now), now);
-}
-
 bool fleet_host::all_domains_drained() const
 {
     return std::all_of(domains_.begin(), domains_.end(),
@@ -251,8 +238,7 @@
     log_line{"host_unlinked"}.add("host", host).write();
     directory_.unlinked(host, now);
     router_->host_lost(host, now);
-    for (auto& [shard, owned] : owned_)
-        owned.owner->requester_lost(host, now);
+    claims_.for_each_owner([&](shard_owner& owner) { owner.requester_lost(host, now); });
 }
 
 void fleet_host::broadcast(const wire::message& message)
@@ -315,17 +301,16 @@
         send_result(from, {order.job, order.attempt, wire::job_end::expired, 0}, now);
         return;
     }
-    const auto found = owned_.find(order.shard);
-    if (found != owned_.end()) {
+    if (auto* owner = claims_.find(order.shard)) {
         // A sender that does not know all workers yet is told of them before the answer.
         const auto* sender = directory_.find(from);
-        if (sender != nullptr && sender->worker_revision_sent < worker_lists_changed_) {
+        if (sender != nullptr && sender->worker_revision_sent < claims_.worker_revision()) {
             report_cache reports{*this, now};
             send_report(from, reports);
         }
         const bool remote = sender == nullptr ? self_.domain != order.shard.domain
                                               : sender->record.domain != order.shard.domain;
-        found->second.owner->submit(std::move(order), from, now, remote);
+        owner->submit(std::move(order), from, now, remote);
         return;
     }
     send_result(from, {order.job, order.attempt, wire::job_end::not_owner, 0}, now);
@@ -345,14 +330,7 @@
 {
     directory_.report(from, report, now);
     config_.note_version(report.known_config, now);
-    for (const auto& domain : report.domains) {
-        if (knows_domain(domain.domain))
-            plan_.merge(domain);
-    }
-    for (const auto& claim : report.claims) {
-        auto& max_epoch = max_epoch_[claim.shard.domain];
-        max_epoch = std::max(max_epoch, claim.epoch);
-    }
+    claims_.learn(report);
     drains_known(report.operator_offset,
                  {report.drained_domains.begin(), report.drained_domains.end()}, from, now);
 }
@@ -382,12 +360,8 @@
         if (!config() || record->version > config_.version())
             config_read(record->body, now);
     }
-    else if (const auto* released = std::get_if<wire::worker_release>(&message)) {
-        for (auto& [shard, owned] : owned_) {
-            if (shard.domain == released->domain)
-                owned.owner->worker_released(released->worker, now);
-        }
-    }
+    else if (const auto* released = std::get_if<wire::worker_release>(&message))
+        claims_.worker_released(*released, now);
     else if (const auto* records = std::get_if<wire::host_records>(&message)) {
         if (records->hosts.empty())
             send_host_list(host);
@@ -530,25 +504,24 @@
 {
     cancelled_.add(job, passed_on, now);
     router_->cancel(job, now);
-    for (auto& [shard, owned] : owned_) {
+    claims_.for_each_owner([&](shard_owner& owner) {
         // The host that waits for the job may not have heard of its cancellation.
-        const auto requester = owned.owner->cancel(job, now);
+        const auto requester = owner.cancel(job, now);
         if (requester && *requester != self_.host && *requester != from)
             peers_.send(*requester, wire::job_cancel{job, 0});
-    }
+    });
 }
 
 void fleet_host::withdraw_owned(const std::string& job, const std::string& requester,
                                 time_point now)
 {
-    for (auto& [shard, owned] : owned_)
-        owned.owner->withdraw(job, requester, now);
+    claims_.for_each_owner([&](shard_owner& owner) { owner.withdraw(job, requester, now); });
 }
 
 std::vector<owner_view> fleet_host::owners(time_point now) const
 {
     std::vector<owner_view> all;
-    for (const auto& [shard, owned] : owned_) {
+    for (const auto& [shard, owned] : claims_.owned()) {
         if (!owned.owner->leaving() && !owned.fenced_at)
             all.push_back({shard, self_.host, self_.incarnation, owned.epoch,
                            owned.owner->takeover_complete(), owned.owner->free_milli(),
@@ -560,7 +533,7 @@
             continue;
         for (const auto& claim : host.report->claims) {
             // A leaving owner accepts jobs until a successor has claimed the shard.
-            if (claim.leaving && claimed_by_staying_host(claim.shard, now))
+            if (claim.leaving && claims_.claimed_by_staying_host(claim.shard, now))
                 continue;
             const auto workers = host.workers.find(claim.shard);
             all.push_back({claim.shard, name, host.incarnation, claim.epoch,
@@ -573,299 +546,31 @@
     return all;
 }
 
-bool fleet_host::claimed_by_staying_host(const wire::shard& shard, time_point now) const
-{
-    const auto all = candidates(shard, now);
-    return std::any_of(all.begin(), all.end(),
-                       [](const claim_candidate& one) { return one.epoch > 0 && !one.leaving; });
-}
-
-std::vector<claim_candidate> fleet_host::candidates(const wire::shard& shard, time_point now) const
-{
-    // Of other domains, hosts without a shard are no candidates: they do not report to each other,
-    // so that each of them would take itself for the first.
-    std::vector<claim_candidate> all;
-    const auto mine = owned_.find(shard);
-    claim_candidate self;
-    self.host = self_.host;
-    self.home = self_.domain == shard.domain;
-    self.can_claim = can_claim(now) && (self.home || !owned_.empty());
-    self.leaving = leaving_ || (mine != owned_.end() && mine->second.offered_at);
-    self.fence_base = fence_base_;
-    self.epoch = mine == owned_.end() ? 0 : mine->second.epoch;
-    self.owned = owned_.size();
-    self.processor_milli = self_.processor_milli;
-    all.push_back(std::move(self));
-    for (const auto& [name, host] : directory_.hosts()) {
-        if (!directory_.alive(host, now))
-            continue;
-        claim_candidate candidate;
-        candidate.host = name;
-        candidate.home = host.record.domain == shard.domain;
-        candidate.can_claim = host.report->able && (candidate.home || host.owns());
-        candidate.leaving = host.report->leaving;
-        candidate.fence_base = host.report->fence_base;
-        candidate.owned = host.report->claims.size();
-        candidate.processor_milli = host.report->processor_milli;
-        for (const auto& claim : host.report->claims) {
-            if (claim.shard != shard)
-                continue;
-            candidate.epoch = claim.epoch;
-            candidate.leaving = candidate.leaving || claim.leaving;
-        }
-        all.push_back(std::move(candidate));
-    }
-    return all;
-}
-
-std::uint64_t fleet_host::next_epoch(const std::string& domain)
-{
-    auto& max_epoch = max_epoch_[domain];
-    max_epoch = std::max(max_epoch, fence_base_ * epochs_per_base) + 1;
-    return max_epoch;
-}
-
-std::uint64_t fleet_host::token(std::uint64_t epoch) const
-{
-    const auto mask = (std::uint64_t{1} << token_base_bits) - 1;
-    return (epoch << token_base_bits) | (fence_base_ & mask);
-}
-
-void fleet_host::claim(const wire::shard& shard, bool from_leaving_owner, time_point now)
-{
-    probe_.forget(shard.domain);
-    owned_shard owned;
-    owned.epoch = next_epoch(shard.domain);
-    owned.owned_since = now;
-    if (from_leaving_owner) {
-        for (const auto& one : candidates(shard, now)) {
-            if (one.leaving && one.epoch > 0)
-                owned.predecessor = one.host;
-        }
-    }
-    shard_owner::callbacks callbacks;
-    callbacks.result = [this](const std::string& host, const wire::job_result& result,
-                              time_point at) {
-        finished_.add(result.job, result.end, at);
-        send_result(host, result, at);
-    };
-    callbacks.fenced = [this, shard](time_point at) {
-        const auto found = owned_.find(shard);
-        if (found != owned_.end() && !found->second.fenced_at)
-            found->second.fenced_at = at;
-    };
-    callbacks.released = [this, domain = shard.domain](const std::string& worker) {
-        broadcast(wire::worker_release{domain, worker});
-    };
-    owned.owner =
-        std::make_unique<shard_owner>(shard, worker_port_, metrics_, log_, std::move(callbacks));
-    log_line{"claim"}
-        .add("shard", to_text(shard))
-        .add("epoch", owned.epoch)
-        .add("predecessor", owned.predecessor)
-        .write();
-    ++metrics_.counter("chivewharf_claims_total");
-    auto& added = owned_.insert_or_assign(shard, std::move(owned)).first->second;
-    added.owner->set_usable_share(drains_.usable_share(shard.domain, now), now);
-    update_workers(*added.owner, workers_.list(), now);
-    added.owner->acquire_workers(token(added.epoch), !added.predecessor.empty(), now);
-    send_report(now);
-}
-
-void fleet_host::update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
-                                time_point now)
-{
-    if (owner.update_workers(workers, ++worker_revision_, now))
-        worker_lists_changed_ = worker_revision_;
-}
-
-void fleet_host::update_workers(time_point now)
-{
-    const bool changed = workers_.refresh(now);
-    const bool any_to_remove = std::any_of(owned_.begin(), owned_.end(), [](const auto& one) {
-        return one.second.owner->has_worker_to_remove();
-    });
-    if (!changed && !any_to_remove)
-        return;
-    const auto list = workers_.list();
-    if (changed && workers_complete_)
-        plan_.observe(list);
-    for (auto& [shard, owned] : owned_)
-        update_workers(*owned.owner, list, now);
-}
-
-void fleet_host::yield(const wire::shard& shard, time_point now)
-{
-    const auto found = owned_.find(shard);
-    auto owner = std::move(found->second.owner);
-    log_line{"yield"}.add("shard", to_text(shard)).add("epoch", found->second.epoch).write();
-    owned_.erase(found);
-    owner->abandon(now);
-    send_report(now);
-}
-
-void fleet_host::reclaim(const wire::shard& shard, owned_shard& owned, time_point now)
-{
-    const auto shift = std::min(owned.fence_count, max_reclaim_shift);
-    if (now - *owned.fenced_at < initial_reclaim_delay * (1U << shift))
-        return;
-    owned.fenced_at.reset();
-    ++owned.fence_count;
-    owned.owned_since = now;
-    // The step grows with each refusal, since a predecessor from an earlier incarnation may have
-    // used much higher epochs.
-    max_epoch_[shard.domain] += std::uint64_t{1} << (2 * owned.fence_count);
-    owned.epoch = next_epoch(shard.domain);
-    log_line{"claim_again"}.add("shard", to_text(shard)).add("epoch", owned.epoch).write();
-    owned.owner->acquire_workers(token(owned.epoch), false, now);
-}
-
-void fleet_host::yield_outdated_shards(time_point now)
-{
-    std::vector<wire::shard> outdated;
-    for (const auto& [shard, owned] : owned_) {
-        if (shard.count != plan_.count(shard.domain))
-            outdated.push_back(shard);
-    }
-    for (const auto& shard : outdated)
-        yield(shard, now);
-}
-
-void fleet_host::check_claim(const wire::shard& shard, time_point now)
-{
-    const auto hosts = candidates(shard, now);
-    switch (policy_.decide(shard, hosts, now)) {
-    case claim_action::none:
-        break;
-    case claim_action::claim:
-        if (shard.domain == self_.domain || probe_.workers_reachable(shard.domain, now))
-            claim(shard, false, now);
-        break;
-    case claim_action::take_over:
-        claim(shard, true, now);
-        break;
-    case claim_action::yield:
-        yield(shard, now);
-        break;
-    }
-}
-
-void fleet_host::check_predecessor(const wire::shard& shard, owned_shard& owned, time_point now)
-{
-    if (owned.predecessor.empty())
-        return;
-    const auto* host = directory_.find(owned.predecessor);
-    const bool still_owns =
-        host != nullptr && directory_.alive(*host, now) &&
-        std::any_of(host->report->claims.begin(), host->report->claims.end(),
-                    [&shard](const wire::shard_claim& one) { return one.shard == shard; });
-    if (still_owns)
-        return;
-    owned.predecessor.clear();
-    owned.owner->predecessor_gone(now);
-}
-
-std::set<wire::shard> fleet_host::settled_shards(time_point now) const
-{
-    std::set<wire::shard> settled;
-    for (const auto& [name, host] : directory_.hosts()) {
-        if (!host.owns() || !directory_.alive(host, now) || host.report->leaving)
-            continue;
-        for (const auto& claim : host.report->claims) {
-            const bool home = host.record.domain == claim.shard.domain;
-            if (!claim.leaving && (home || claim.shard.domain != self_.domain) &&
-                !owned_.contains(claim.shard))
-                settled.insert(claim.shard);
-        }
-    }
-    return settled;
-}
-
-void fleet_host::check_claims(time_point now)
-{
-    yield_outdated_shards(now);
-    // The candidates of every shard are compared only where there may be something to decide: the
-    // effort grows with the number of shards times the number of hosts.
-    const auto settled = settled_shards(now);
-    for (const auto& domain : domains_) {
-        for (const auto& shard : plan_.shards_of(domain)) {
-            if (settled.contains(shard))
-                policy_.note_owned(shard);
-            else
-                check_claim(shard, now);
-        }
-    }
-    for (auto& [shard, owned] : owned_) {
-        if (owned.fenced_at && !leaving_)
-            reclaim(shard, owned, now);
-        else if (owned.fence_count > 0 && now - owned.owned_since > reclaim_delay_reset)
-            owned.fence_count = 0;
-        check_predecessor(shard, owned, now);
-    }
-    if (!leaving_)
-        offer_shards(now);
-}
-
-void fleet_host::offer_shards(time_point now)
-{
-    // Offer one shard at a time, so that the next decision sees the effect of the last one.
-    const bool moving = std::any_of(owned_.begin(), owned_.end(), [](const auto& one) {
-        return one.second.offered_at || !one.second.predecessor.empty() ||
-               one.second.owner->leaving();
-    });
-    for (auto& [shard, owned] : owned_) {
-        if (owned.owner->leaving())
-            continue;
-        if (!policy_.should_offer(candidates(shard, now))) {
-            owned.better_since.reset();
-            if (owned.offered_at && !claimed_by_staying_host(shard, now))
-                owned.offered_at.reset();
-            continue;
-        }
-        if (!owned.better_since)
-            owned.better_since = now;
-        if (moving || owned.fenced_at || now - *owned.better_since < offer_delay)
-            continue;
-        owned.offered_at = now;
-        log_line{"shard_offered"}.add("shard", to_text(shard)).add("epoch", owned.epoch).write();
-        send_report(now);
-        return;
-    }
-}
-
 wire::host_report fleet_host::report(time_point now) const
 {
     wire::host_report current;
-    current.fence_base = fence_base_;
+    current.fence_base = claims_.fence_base();
     current.known_config = config_.version();
-    current.leaving = leaving_;
-    current.able = can_claim(now) && !leaving_;
+    current.leaving = claims_.leaving();
+    current.able = claims_.can_claim(now) && !claims_.leaving();
     current.processor_milli = self_.processor_milli;
-    current.domains = plan_.all();
+    current.domains = claims_.shard_counts();
     current.accepts_store_records = true;
     current.clock_ms = to_ms(now.time_since_epoch());
     current.operator_offset = drains_.offset();
     current.drained_domains.assign(drains_.domains().begin(), drains_.domains().end());
     if (current.drained_domains.size() > wire::max_drained_domains)
         current.drained_domains.resize(wire::max_drained_domains);
-    for (const auto& [shard, owned] : owned_)
-        current.claims.push_back({shard,
-                                  owned.epoch,
-                                  owned.owner->takeover_complete(),
-                                  owned.owner->free_milli(),
-                                  static_cast<std::uint32_t>(to_ms(owned.owner->backlog())),
-                                  leaving_ || owned.offered_at,
-                                  owned.owner->workers_in_use()->revision,
-                                  {},
-                                  owned.owner->room(now)});
+    current.claims = claims_.claims(now);
     return current;
 }
 
 void fleet_host::send_report(const std::string& host, report_cache& reports)
 {
     const auto* known = directory_.find(host);
-    const bool has_lists = known != nullptr && known->worker_revision_sent >= worker_lists_changed_;
-    directory_.report_sent(host, worker_lists_changed_, reports.now());
+    const bool has_lists =
+        known != nullptr && known->worker_revision_sent >= claims_.worker_revision();
+    directory_.report_sent(host, claims_.worker_revision(), reports.now());
     peers_.send(host, has_lists ? reports.brief() : reports.complete());
 }
 
@@ -886,7 +591,7 @@
         // interval.
         const bool older = host.report && !host.report->accepts_store_records;
         const auto interval = report_interval(
-            {directory_.same_domain(host) || older, !owned_.empty(), host.shares_jobs()});
+            {directory_.same_domain(host) || older, !claims_.owned().empty(), host.shares_jobs()});
         if (!host.linked || !interval || now - host.last_report_sent < *interval)
             continue;
         send_report(name, reports);
@@ -896,8 +601,7 @@
 void fleet_host::drop_silent_hosts(time_point now)
 {
     std::set<std::string> requesters;
-    for (const auto& [shard, owned] : owned_)
-        owned.owner->collect_requesters(requesters);
+    claims_.for_each_owner([&](const shard_owner& owner) { owner.collect_requesters(requesters); });
     directory_.set_requesters(requesters);
     directory_.set_owners_with_jobs(router_->owners_with_jobs(), now);
     std::vector<std::string> silent;
@@ -949,85 +653,45 @@
     directory_.expire(now);
     cancelled_.expire(now);
     finished_.expire(now);
-    update_workers(now);
+    claims_.update_workers(now);
     fetch_config(now);
     request_host_list(now);
-    if (now >= next_claim_check_) {
-        next_claim_check_ = now + claim_interval;
-        check_claims(now);
-    }
-    apply_drains(now);
-    for (auto& [shard, owned] : owned_)
-        owned.owner->tick(now);
-    hand_over(now);
+    claims_.check(now);
+    claims_.apply_drains(now);
+    claims_.tick(now);
     router_->tick(now);
-    interrupt_shards(now);
+    claims_.interrupt(now);
     send_due_reports(now);
 }
 
-void fleet_host::hand_over(time_point now)
-{
-    for (auto& [shard, owned] : owned_) {
-        if ((!leaving_ && !owned.offered_at) || owned.owner->leaving())
-            continue;
-        const bool waited = leaving_ && now - leaving_since_ > max_successor_wait;
-        if (waited || claimed_by_staying_host(shard, now))
-            owned.owner->leave(now);
-    }
-    const auto erased = std::erase_if(owned_, [](const auto& one) {
-        return one.second.owner->leaving() && one.second.owner->released() &&
-               one.second.owner->jobs() == 0;
-    });
-    if (erased > 0)
-        send_report(now);
-}
-
 bool fleet_host::ready(time_point now) const
 {
-    return !leaving_ && config_current(now) && !owners(now).empty();
+    return !claims_.leaving() && config_current(now) && !owners(now).empty();
 }
 
 void fleet_host::leave(time_point end_by, time_point now)
 {
-    leaving_ = true;
-    end_by_ = end_by;
+    claims_.leave(end_by, now);
     router_->end_by(end_by);
-    leaving_since_ = now;
     log_line{"leaving"}
-        .add("shards", std::uint64_t{owned_.size()})
+        .add("shards", std::uint64_t{claims_.owned().size()})
         .add("jobs", std::uint64_t{router_->jobs()})
         .write();
     send_report(now);
 }
 
-void fleet_host::interrupt_shards(time_point now)
-{
-    if (!leaving_ || now < end_by_)
-        return;
-    for (auto& [shard, owned] : owned_) {
-        const auto stopped = owned.owner->interrupt(now);
-        if (stopped > 0)
-            log_line{"tasks_interrupted"}
-                .add("shard", to_text(shard))
-                .add("tasks", std::uint64_t{stopped})
-                .write();
-    }
-}
-
 void fleet_host::finish_leaving(time_point now)
 {
-    leaving_ = true;
-    end_by_ = now;
+    claims_.leave(now, now);
     router_->end_by(now);
     router_->tick(now);
-    while (!owned_.empty())
-        yield(wire::shard{owned_.begin()->first}, now);
+    claims_.yield_all(now);
     last_tick_ = {};
 }
 
 bool fleet_host::drained() const
 {
-    return owned_.empty() && router_->jobs() == 0;
+    return claims_.owned().empty() && router_->jobs() == 0;
 }
 
 } // namespace chivewharf::fleet
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -3,19 +3,17 @@
 #include <base/result.h>
 #include <base/time.h>
 #include <cstdint>
-#include <fleet/adoption_probe.h>
 #include <fleet/cancelled_jobs.h>
-#include <fleet/claim_policy.h>
 #include <fleet/cluster_config.h>
 #include <fleet/config_state.h>
 #include <fleet/drain_state.h>
 #include <fleet/finished_jobs.h>
 #include <fleet/host_directory.h>
+#include <fleet/host_identity.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
 #include <fleet/request_log.h>
-#include <fleet/shard_owner.h>
-#include <fleet/shard_plan.h>
+#include <fleet/shard_claims.h>
 #include <fleet/worker_directory.h>
 #include <functional>
 #include <map>
@@ -29,15 +27,6 @@
 
 namespace chivewharf::fleet {
 
-/// Identity of a host process.
-struct host_identity {
-    std::string host;
-    std::string domain;
-    std::string address;               ///< where other hosts reach it
-    std::uint64_t incarnation = 0;     ///< random number of this process
-    std::uint32_t processor_milli = 0; ///< available processor time, thousandths of a core
-};
-
 /// Why a request is rejected.
 ///  - `no_config`: this host has no configuration, or one that is out of date.
 ///  - `unknown_queue`: the configuration has no queue for the request.
@@ -71,7 +60,7 @@
 
     /// The store has assigned this process the number that its epochs and fencing tokens are based
     /// on. No other process gets the same number, and it is higher than all earlier ones.
-    void fence_base_granted(std::uint64_t number);
+    void fence_base_granted(std::uint64_t number) { claims_.fence_base_granted(number); }
     /// Applies a record of the configuration. An unreadable or older one is ignored.
     void config_read(const std::string& record, time_point now);
     /// The complete set of drained domains, as of the records of the operators' topic before
@@ -83,7 +72,7 @@
     result<bool, std::string> worker_listed(worker_entry entry);
     void worker_unlisted(const std::string& id, time_point now) { workers_.remove(id, now); }
     /// Every listed worker has been read at least once: this host may claim shards.
-    void workers_complete() { workers_complete_ = true; }
+    void workers_complete() { claims_.workers_complete(); }
     void host_listed(const wire::host_record& record, time_point now);
     void store_answered(bool answered, time_point now) { workers_.store_answered(answered, now); }
 
@@ -151,44 +140,14 @@
     wire::host_report report(time_point now) const;
 
 private:
-    struct owned_shard {
-        std::unique_ptr<shard_owner> owner;
-        std::uint64_t epoch = 0;
-        std::string predecessor;             ///< leaving host that has not released all workers yet
-        std::optional<time_point> fenced_at; ///< when a worker refused the token in use
-        std::uint32_t fence_count = 0;       ///< reclaims since the back-off was last reset
-        time_point owned_since{};
-        std::optional<time_point> better_since; ///< since when another host should own the shard
-        std::optional<time_point> offered_at;   ///< when the shard was offered to other hosts
-    };
-
+    shard_claims::callbacks claim_callbacks();
     std::vector<owner_view> owners(time_point now) const;
-    void check_claims(time_point now);
-    /// Shards of other owners about which this host has nothing to decide.
-    std::set<wire::shard> settled_shards(time_point now) const;
-    void check_claim(const wire::shard& shard, time_point now);
-    void check_predecessor(const wire::shard& shard, owned_shard& owned, time_point now);
-    void yield_outdated_shards(time_point now);
-    void offer_shards(time_point now);
-    std::vector<claim_candidate> candidates(const wire::shard& shard, time_point now) const;
-    void claim(const wire::shard& shard, bool from_leaving_owner, time_point now);
-    /// Passes changes of the list of workers on to the owned shards.
-    void update_workers(time_point now);
     bool knows_domain(const std::string& domain) const;
     /// Logs a drain of an unknown domain once.
     void log_unknown_drain(const std::string& domain, std::string_view source);
     void log_drains(const std::set<std::string>& former, std::string_view source);
-    /// Applies the drains, and the rise of the load after their end, to the owned shards.
-    void apply_drains(time_point now);
     /// True if no domain is left in which a task may be started.
     bool all_domains_drained() const;
-    void update_workers(shard_owner& owner, const std::vector<worker_entry>& workers,
-                        time_point now);
-    void yield(const wire::shard& shard, time_point now);
-    /// Once the back-off has passed, acquires the workers of a fenced shard under a higher epoch.
-    void reclaim(const wire::shard& shard, owned_shard& owned, time_point now);
-    std::uint64_t next_epoch(const std::string& domain);
-    std::uint64_t token(std::uint64_t epoch) const;
     void send_to_owner(const std::string& host, wire::message message, time_point now);
     void handle_order(const std::string& from, wire::job_order order, time_point now);
     /// Refuses an order that may have been on its way for longer than `max_order_age`.
@@ -217,24 +176,15 @@
                             time_point now);
     /// The requester has given the job up: ends it at the shards that this host owns.
     void withdraw_owned(const std::string& job, const std::string& requester, time_point now);
-    void hand_over(time_point now);
-    /// Stops the tasks at the owned shards once the time of the planned stop is over.
-    void interrupt_shards(time_point now);
-    bool claimed_by_staying_host(const wire::shard& shard, time_point now) const;
     void drop_silent_hosts(time_point now);
     /// Does an overdue tick before the event that comes first after a pause of this process: jobs
     /// whose time is over end, and links on which this host may have been given up are closed.
     void catch_up(time_point now);
     /// After a pause of this process, closes the links to hosts that share jobs with it.
     void drop_links_after_pause(time_point now);
-    bool can_claim(time_point now) const
-    {
-        return config_current(now) && workers_complete_ && fence_base_ != 0;
-    }
 
     host_identity self_;
     std::vector<std::string> domains_;
-    worker_port& worker_port_;
     peer_port& peers_;
     caller_port& callers_;
     metrics::registry& metrics_;
@@ -242,30 +192,18 @@
     request_log log_;
     host_directory directory_;
     worker_directory workers_;
-    claim_policy policy_;
     cancelled_jobs cancelled_;
     finished_jobs finished_;
     std::unique_ptr<job_router> router_;
-    shard_plan plan_;
-    std::map<wire::shard, owned_shard> owned_;
-    adoption_probe probe_;
-    std::map<std::string, std::uint64_t> max_epoch_; ///< highest known epoch, by domain
     config_state config_;
     drain_state drains_;
+    shard_claims claims_;
     std::set<std::string> unknown_drains_; ///< drains of unknown domains that were logged
     std::function<void(const wire::store_records&, time_point)> store_records_handler_;
     std::uint64_t config_requests_ = 0;
     std::uint64_t host_list_requests_ = 0;
     time_point host_list_requested_{};
-    std::uint64_t fence_base_ = 0;
-    std::uint64_t worker_revision_ = 0;      ///< of the last list that an owner was given
-    std::uint64_t worker_lists_changed_ = 0; ///< last revision that changed an owner's workers
-    time_point leaving_since_{};
-    time_point end_by_{}; ///< end of the planned stop's work; valid if `leaving_`
-    time_point next_claim_check_{};
     time_point last_tick_{}; ///< zero before the first tick and after the last one
-    bool workers_complete_ = false;
-    bool leaving_ = false;
 };
 
 } // namespace chivewharf::fleet
