Part the forecast and the admission of jobs from shard_owner

shard_owner.cpp held the estimates of waits, objectives and room, and the choice of jobs to refuse, beside the work on jobs and workers (960 lines).

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -39,6 +39,7 @@
 #include <fleet/run_time_model.h>
 #include <fleet/sent_tasks.h>
 #include <fleet/shard_claims.h>
+#include <fleet/shard_forecast.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
 #include <fleet/topic_follower.h>
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <fleet/progress_check.h>
-#include <fleet/retry_schedule.h>
 #include <utility>
 
 namespace chivewharf::fleet {
@@ -15,8 +14,7 @@
 constexpr std::uint32_t avoidance_failure_threshold = 2;
 constexpr duration initial_avoidance = seconds{2};
 constexpr duration max_avoidance = seconds{8};
-/// Sent with refusals for which no forecast is made.
-constexpr std::uint32_t default_retry_after_ms = 500;
+constexpr auto default_retry_after_ms = shard_forecast::default_retry_after_ms;
 /// Interval at which waiting jobs are checked against the forecast.
 constexpr duration waiting_check_interval = milliseconds{20};
 /// Number of jobs behind the first one without resources that are tried in its place. It bounds the
@@ -25,27 +23,14 @@
 /// Added to the run number of a task after a worker has rejected it as stale.
 constexpr std::uint32_t stale_run_step = 8;
 
-/// The largest demand of a task of the job, in each kind of resource.
-resources largest_demand(const wire::job_order& order)
-{
-    resources largest;
-    for (const auto& step : order.steps) {
-        const auto demand = demand_of(step);
-        largest.cpu_milli = std::max(largest.cpu_milli, demand.cpu_milli);
-        largest.memory_mb = std::max(largest.memory_mb, demand.memory_mb);
-        largest.accelerators = std::max(largest.accelerators, demand.accelerators);
-    }
-    return largest;
-}
-
 } // namespace
 
 shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
                          request_log& log, callbacks cb)
-    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log}, callbacks_{std::move(
-                                                                               cb)},
+    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log},
+      callbacks_{std::move(cb)}, forecast_{{workers_, jobs_, queue_, profile_, model_}},
       placer_{{workers_, jobs_, model_, profile_, lingering_tasks_,
-               [this](std::int64_t cpu_milli) { return share_admits(cpu_milli); }},
+               [this](std::int64_t cpu_milli) { return forecast_.share_admits(cpu_milli); }},
               [this](job_run& job, task_position position, managed_worker& worker, time_point now) {
                   order_start(job, position, worker, now);
               }}
@@ -172,85 +157,12 @@
     });
 }
 
-usable_capacity shard_owner::usable() const
-{
-    usable_capacity usable;
-    for (const auto& [id, worker] : workers_) {
-        if (worker.accepts_tasks())
-            usable.add(worker.session->entry().capacity, worker.session->free());
-    }
-    usable.limit(usable_share_);
-    return usable;
-}
-
-duration shard_owner::backlog_before(time_point latest_start) const
-{
-    const auto capacity = usable().capacity_milli();
-    if (capacity == 0)
-        return seconds{10};
-    std::uint64_t work = 0;
-    for (const auto priority : queue_.priorities()) {
-        for (const auto& waiting : queue_.jobs(priority)) {
-            if (waiting.latest_start > latest_start)
-                break;
-            work += jobs_.at(waiting.job)->waiting_work();
-        }
-    }
-    return milliseconds{work / capacity};
-}
-
-duration shard_owner::backlog() const
-{
-    return backlog_before(time_point::max());
-}
-
-forecast_input shard_owner::load_for(std::uint32_t priority, const resources& demand,
-                                     double ahead_milli, time_point now) const
-{
-    const auto workers = usable();
-    forecast_input load;
-    load.usable_milli = static_cast<double>(workers.startable_tasks(demand)) *
-                        static_cast<double>(demand.cpu_milli);
-    load.used_milli = static_cast<double>(workers.used_milli());
-    load.ahead_milli = ahead_milli;
-    load.more_urgent_rate = profile_.more_urgent_rate(priority, now);
-    load.mean_run_time = profile_.mean_run_time(now);
-    return load;
-}
-
-std::optional<wire::shard_room> shard_owner::room(time_point now) const
-{
-    if (!by_priority())
-        return std::nullopt;
-    wire::shard_room room;
-    const resources typical{profile_.typical_demand(), 0, 0};
-    room.startable_tasks = static_cast<std::uint32_t>(usable().startable_tasks(typical));
-    for (const auto priority : profile_.priorities()) {
-        const auto ahead = static_cast<double>(queue_.demand_milli(priority));
-        const auto wait =
-            forecast_wait(load_for(priority, typical, ahead, now),
-                          static_cast<double>(typical.cpu_milli), job_queue::reserved_share);
-        room.waits.push_back(
-            {priority, static_cast<std::uint32_t>(to_ms(wait.value_or(duration{0})))});
-    }
-    return room;
-}
-
-bool shard_owner::share_admits(std::int64_t cpu_milli) const
-{
-    if (usable_share_ >= 1)
-        return true;
-    const auto workers = usable();
-    const auto needed = workers.used_milli() + static_cast<std::uint64_t>(cpu_milli);
-    return !drained() && (workers.used_milli() == 0 || needed <= workers.capacity_milli());
-}
-
 void shard_owner::set_usable_share(double share, time_point now)
 {
-    if (usable_share_ == share)
+    if (forecast_.usable_share() == share)
         return;
-    usable_share_ = share;
-    if (drained()) {
+    forecast_.set_usable_share(share);
+    if (forecast_.drained()) {
         give_back_unstarted(wire::job_end::overloaded, now);
         end_idle_jobs(now);
         return;
@@ -266,25 +178,6 @@
            });
 }
 
-time_point shard_owner::objective(const job_run& job) const
-{
-    const auto chain = model_.nominal(job.order.queue, job.critical_path_estimate());
-    return job.arrived + from_seconds(to_seconds(chain) * double{job.order.stretch}) +
-           milliseconds{job.order.target_ms};
-}
-
-time_point shard_owner::latest_start(const job_run& job) const
-{
-    if (by_priority()) {
-        const auto longest = model_.longest(job.order.queue, job.critical_path_estimate());
-        const auto allowed = from_seconds(to_seconds(longest) * double{job.order.stretch}) +
-                             milliseconds{job.order.target_ms};
-        return std::min(job.arrived + allowed, job.deadline) - longest;
-    }
-    return std::min(objective(job), job.deadline) -
-           model_.nominal(job.order.queue, job.critical_path_estimate());
-}
-
 void shard_owner::enqueue(job_run& job)
 {
     // The latest start changes as run times are learned. A waiting job keeps that of its entry
@@ -296,21 +189,20 @@
 
 queued_job shard_owner::queue_entry(const job_run& job) const
 {
-    if (!by_priority())
-        return {0, false, job.waiting_demand(), latest_start(job), job.order.job};
-    return {job.priority, job.started, job.waiting_demand(), latest_start(job), job.order.job};
+    const auto start_by = forecast_.latest_start(job);
+    if (!forecast_.by_priority())
+        return {0, false, job.waiting_demand(), start_by, job.order.job};
+    return {job.priority, job.started, job.waiting_demand(), start_by, job.order.job};
 }
 
 void shard_owner::note_demand(const job_run& job, time_point now)
 {
-    const bool former_order = !by_priority();
     // The priority as sent counts here. A job from another domain waits with the next lower one,
     // which alone must not start the order by priority.
-    several_priorities_ |= last_priority_.value_or(job.order.priority) != job.order.priority;
-    last_priority_ = job.order.priority;
+    const bool reorder = forecast_.note_priority(job.order.priority);
     for (const auto& step : job.order.steps)
         profile_.task_demand(job.priority, step.cpu_milli, step.count, now);
-    if (!former_order || !by_priority())
+    if (!reorder)
         return;
     for (const auto& [id, one] : jobs_) {
         if (one->waits)
@@ -318,35 +210,6 @@
     }
 }
 
-std::optional<duration> shard_owner::expected_wait(const job_run& job, time_point now) const
-{
-    const auto ahead = static_cast<double>(queue_.demand_milli(job.priority));
-    return forecast_wait(load_for(job.priority, largest_demand(job.order), ahead, now),
-                         static_cast<double>(job.waiting_demand()), job_queue::reserved_share);
-}
-
-bool shard_owner::startable(const job_run& job) const
-{
-    const auto needed = queue_.demand_milli(job.priority) == 0 ? 1 : job.placeable();
-    return usable().startable_tasks(largest_demand(job.order)) >= needed;
-}
-
-std::optional<duration> shard_owner::excessive_wait(const job_run& job, time_point now) const
-{
-    const auto wait = expected_wait(job, now);
-    if (!wait || startable(job) || now + *wait <= latest_start(job))
-        return std::nullopt;
-    return wait;
-}
-
-std::uint32_t shard_owner::retry_after_ms(const job_run& job, time_point now) const
-{
-    if (!by_priority())
-        return default_retry_after_ms;
-    const auto wait = expected_wait(job, now).value_or(duration{0});
-    return static_cast<std::uint32_t>(to_ms(retry_delay(wait, job.priority, job.order.job)));
-}
-
 void shard_owner::submit(wire::job_order order, const std::string& requester, time_point now,
                          bool remote)
 {
@@ -374,14 +237,14 @@
                 .add("waiting", std::uint64_t{queue_.size()})
                 .add("free_milli", free_milli())
                 .add("usable_workers", std::uint64_t{usable_workers()})
-                .add("drained", drained() ? "true" : "false")
+                .add("drained", forecast_.drained() ? "true" : "false")
                 .write();
         callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
                           now);
     };
     if (leaving_ || suspended_ || token_ == 0)
         return refuse(wire::job_end::not_owner);
-    if (drained())
+    if (forecast_.drained())
         return refuse(wire::job_end::overloaded);
     if (!satisfiable(order))
         return refuse(wire::job_end::impossible);
@@ -399,19 +262,10 @@
 
 bool shard_owner::admit(const job_run& job, time_point now)
 {
-    const auto start_by = latest_start(job);
-    if (by_priority()) {
-        const auto wait = excessive_wait(job, now);
-        if (!wait)
-            return true;
-        refuse_overloaded(job, "forecast", *wait, now);
-        return false;
-    }
-    const auto wait = backlog_before(start_by);
-    if (queue_.empty() || now + wait <= start_by + milliseconds{job.order.target_ms})
-        return true;
-    refuse_overloaded(job, "backlog", wait, now);
-    return false;
+    const auto overload = forecast_.overload_for(job, now);
+    if (overload)
+        refuse_overloaded(job, overload->reason, overload->wait, now);
+    return !overload;
 }
 
 void shard_owner::refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
@@ -421,7 +275,7 @@
     ++metrics_.counter("chivewharf_overload_refusals_total",
                        "reason=\"" + std::string{reason} + "\",priority=\"" +
                            std::to_string(job.priority) + '"');
-    const auto retry_after = retry_after_ms(job, now);
+    const auto retry_after = forecast_.retry_after_ms(job, now);
     if (log_.should_log(job.order.job, now))
         log_line{"job_refused"}
             .add("job", job.order.job)
@@ -430,11 +284,11 @@
             .add("reason", reason)
             .add("priority", job.priority)
             .add("wait_ms", to_ms(wait))
-            .add("slack_ms", to_ms(latest_start(job) - now))
+            .add("slack_ms", to_ms(forecast_.latest_start(job) - now))
             .add("ahead_milli", queue_.demand_milli(job.priority))
             .add("need_milli", job.waiting_demand())
             .add("free_milli", free_milli())
-            .add("used_milli", usable().used_milli())
+            .add("used_milli", forecast_.usable().used_milli())
             .add("run_ms", to_ms(profile_.mean_run_time(now).value_or(duration{0})))
             .add("retry_after_ms", retry_after)
             .write();
@@ -453,26 +307,10 @@
 
 void shard_owner::check_waiting(time_point now)
 {
-    if (!by_priority() || leaving_ || suspended_)
+    if (!forecast_.by_priority() || leaving_ || suspended_)
         return;
-    std::vector<std::pair<std::string, duration>> hopeless;
-    const resources typical{profile_.typical_demand(), 0, 0};
-    double ahead = 0;
-    for (const auto priority : queue_.priorities()) {
-        auto load = load_for(priority, typical, ahead, now);
-        for (const auto& waiting : queue_.jobs(priority)) {
-            load.ahead_milli = ahead;
-            const auto wait = forecast_wait(load, static_cast<double>(waiting.demand_milli),
-                                            job_queue::reserved_share);
-            const bool late = wait && now + *wait > waiting.latest_start;
-            if (late && ahead > 0 && !jobs_.at(waiting.job)->started)
-                hopeless.emplace_back(waiting.job, *wait);
-            else
-                ahead += static_cast<double>(waiting.demand_milli);
-        }
-    }
-    for (const auto& [id, wait] : hopeless)
-        refuse_waiting(id, "recheck", wait, now);
+    for (const auto& late : forecast_.late_jobs(now))
+        refuse_waiting(late.job, "recheck", late.wait, now);
 }
 
 void shard_owner::availability_changed(time_point now)
@@ -485,7 +323,7 @@
     // After a pause of the process, its requesters may have sent their jobs elsewhere. The next
     // tick finds out before anything is started.
     const bool paused = last_tick_ != time_point{} && now - last_tick_ > max_pause;
-    if (scheduling_ || leaving_ || suspended_ || paused || drained())
+    if (scheduling_ || leaving_ || suspended_ || paused || forecast_.drained())
         return;
     scheduling_ = true;
     placer_.begin_pass();
@@ -515,7 +353,7 @@
             continue;
         }
         const auto former = job.placeable();
-        if (placer_.place(job, {objective(job), start_by}, now)) {
+        if (placer_.place(job, {forecast_.objective(job), start_by}, now)) {
             job.waits = false;
             queue_.erase(job.order.job);
             continue;
@@ -757,7 +595,7 @@
             .add("end", to_name(end))
             .add("requester", job->requester)
             .add("age_ms", to_ms(now - job->arrived))
-            .add("objective_ms", to_ms(objective(*job) - job->arrived))
+            .add("objective_ms", to_ms(forecast_.objective(*job) - job->arrived))
             .write();
     callbacks_.result(job->requester, {id, job->order.attempt, end, default_retry_after_ms}, now);
 }
@@ -906,7 +744,7 @@
             orphans.push_back(id);
         else if (job->started && now >= job->deadline)
             expired.push_back(id);
-        else if (!job->started && (now >= job->deadline || now > latest_start(*job)))
+        else if (!job->started && (now >= job->deadline || now > forecast_.latest_start(*job)))
             too_late.push_back(id);
     }
     for (const auto& id : orphans)
@@ -937,7 +775,7 @@
         worker.session->tick(now);
     log_takeover();
     check_deadlines(now);
-    if (drained())
+    if (forecast_.drained())
         end_idle_jobs(now);
     if (leaving_) {
         release_idle_workers(now);
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -2,7 +2,6 @@
 
 #include <base/time.h>
 #include <cstdint>
-#include <fleet/admission_forecast.h>
 #include <fleet/demand_profile.h>
 #include <fleet/job_placer.h>
 #include <fleet/job_queue.h>
@@ -12,9 +11,9 @@
 #include <fleet/progress_check.h>
 #include <fleet/request_log.h>
 #include <fleet/run_time_model.h>
+#include <fleet/shard_forecast.h>
 #include <fleet/shard_plan.h>
 #include <fleet/types.h>
-#include <fleet/usable_capacity.h>
 #include <fleet/worker_session.h>
 #include <functional>
 #include <map>
@@ -128,15 +127,15 @@
     bool takeover_complete() const;
 
     /// Free processor time of the usable workers, in thousandths of a core.
-    std::uint64_t free_milli() const { return usable().free_milli(); }
+    std::uint64_t free_milli() const { return forecast_.usable().free_milli(); }
     /// Estimated time in which the usable workers can run all waiting tasks; 10 s if none is
     /// usable.
-    duration backlog() const;
+    duration backlog() const { return forecast_.backlog(); }
     /// What the shard can still take, for the report to other hosts; none if it is not known.
-    std::optional<wire::shard_room> room(time_point now) const;
+    std::optional<wire::shard_room> room(time_point now) const { return forecast_.room(now); }
     std::size_t jobs() const noexcept { return jobs_.size(); }
     std::size_t workers() const noexcept { return workers_.size(); }
-    std::size_t usable_workers() const { return usable().workers(); }
+    std::size_t usable_workers() const { return forecast_.usable().workers(); }
 
     // session_observer
     void task_ended(worker_session& worker, const tracked_task& task, task_end end,
@@ -152,32 +151,9 @@
     void update_entry(managed_worker& worker, const worker_entry& entry, time_point now);
     void log_takeover();
     bool satisfiable(const wire::job_order& order) const;
-    /// Part of the backlog that is due to jobs whose latest start is not after the given one.
-    duration backlog_before(time_point latest_start) const;
-    usable_capacity usable() const;
-    /// Time by which the job should complete: its arrival, the expected run time of its critical
-    /// path times `stretch`, and the target of its queue.
-    time_point objective(const job_run& job) const;
-    /// Latest start at which the job is expected to meet its objective and its deadline.
-    time_point latest_start(const job_run& job) const;
-    /// True if the shard's jobs have different priorities. Otherwise they wait in the order of
-    /// their latest start.
-    bool by_priority() const noexcept { return several_priorities_; }
     void enqueue(job_run& job);
     queued_job queue_entry(const job_run& job) const;
     void note_demand(const job_run& job, time_point now);
-    /// The shard as seen by a job of the priority.
-    /// \param ahead_milli demand of the waiting tasks that go before it
-    forecast_input load_for(std::uint32_t priority, const resources& demand, double ahead_milli,
-                            time_point now) const;
-    /// Time until the last task of a job that is not in the queue would start; none if too little
-    /// is known.
-    std::optional<duration> expected_wait(const job_run& job, time_point now) const;
-    /// True if workers have room for the job now: for all of its tasks, or for one of them if no
-    /// job goes first.
-    bool startable(const job_run& job) const;
-    /// Wait after which the job cannot meet its objective any more; none if it can start in time.
-    std::optional<duration> excessive_wait(const job_run& job, time_point now) const;
     /// True if the job may wait; otherwise it has been refused.
     bool admit(const job_run& job, time_point now);
     void refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
@@ -191,7 +167,6 @@
     /// Starts waiting jobs of the priority as far as resources permit.
     /// \param reserved_share_only ends once these jobs have had their reserved share
     void start_waiting(std::uint32_t priority, bool reserved_share_only, time_point now);
-    std::uint32_t retry_after_ms(const job_run& job, time_point now) const;
     void order_start(job_run& job, task_position position, managed_worker& worker, time_point now);
     void avoid(managed_worker& worker, std::string_view reason, time_point now);
     void finish(const std::string& job, wire::job_end end, time_point now);
@@ -209,14 +184,10 @@
     void check_progress(managed_worker& worker, time_point now);
     void check_deadlines(time_point now);
     void release_idle_workers(time_point now);
-    bool drained() const noexcept { return usable_share_ <= 0; }
     /// Ends the jobs that have not started; their requesters send them to other owners.
     void give_back_unstarted(wire::job_end end, time_point now);
     /// Ends the started jobs without an active task as `interrupted`.
     void end_idle_jobs(time_point now);
-    /// True if tasks may take this much more processor time. While the share is limited, one task
-    /// or gang is always admitted if none runs, so that those larger than the share can start.
-    bool share_admits(std::int64_t cpu_milli) const;
     void count_end(wire::job_end end);
 
     wire::shard shard_;
@@ -230,8 +201,7 @@
     job_map jobs_;
     job_queue queue_;
     demand_profile profile_;
-    std::optional<std::uint32_t> last_priority_; ///< of the last job, as sent
-    bool several_priorities_ = false;            ///< jobs were sent with different ones
+    shard_forecast forecast_;
     /// Tasks of ended jobs that may still be on a worker; they are not started again before their
     /// end is known.
     std::map<std::string, std::string> lingering_tasks_; ///< worker by task
@@ -240,7 +210,6 @@
     time_point next_progress_check_{};
     time_point next_waiting_check_{};
     time_point last_tick_{};
-    double usable_share_ = 1;
     bool takeover_logged_ = false;
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
     bool predecessor_leaving_ = false; ///< a predecessor still releases its workers
