--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -34,6 +34,7 @@
 #include <fleet/progress_check.h>
 #include <fleet/recent_jobs.h>
 #include <fleet/report_schedule.h>
+#include <fleet/report_sender.h>
 #include <fleet/request_log.h>
 #include <fleet/retry_schedule.h>
 #include <fleet/run_time_model.h>
--- a/modules/fleet/fleet_host.cpp
+++ b/modules/fleet/fleet_host.cpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <base/log_line.h>
 #include <fleet/order_age.h>
-#include <fleet/report_schedule.h>
 #include <set>
 #include <tuple>
 #include <utility>
-#include <wire/frame_codec.h>
 
 namespace chivewharf::fleet {
 
@@ -22,41 +20,6 @@
 
 } // namespace
 
-/// The report of a moment, made when it is first needed, with and without the lists of workers.
-class fleet_host::report_cache {
-public:
-    report_cache(const fleet_host& host, time_point now) : host_{host}, now_{now} {}
-
-    time_point now() const noexcept { return now_; }
-
-    const wire::host_report& brief()
-    {
-        if (!brief_)
-            brief_ = host_.report(now_);
-        return *brief_;
-    }
-
-    const wire::host_report& complete()
-    {
-        if (complete_)
-            return *complete_;
-        complete_ = brief();
-        for (auto& claim : complete_->claims) {
-            const auto& ids = host_.claims_.owned().at(claim.shard).owner->workers_in_use()->ids;
-            // A longer list would not be accepted; receivers then rely on time limits.
-            if (ids.size() <= wire::max_report_entries)
-                claim.workers.assign(ids.begin(), ids.end());
-        }
-        return *complete_;
-    }
-
-private:
-    const fleet_host& host_;
-    time_point now_;
-    std::optional<wire::host_report> brief_;
-    std::optional<wire::host_report> complete_;
-};
-
 fleet_host::fleet_host(host_identity self, std::vector<std::string> domains, worker_port& workers,
                        peer_port& peers, caller_port& callers, metrics::registry& metrics,
                        config_decoder decode, time_point now)
@@ -64,7 +27,8 @@
       metrics_{metrics}, decode_{std::move(decode)}, directory_{self_.domain},
       claims_{{self_, domains_, workers, metrics_, log_, directory_, workers_, drains_},
               claim_callbacks(),
-              now}
+              now},
+      reports_{{self_, claims_, config_, drains_, directory_, peers_}}
 {
     router_ = std::make_unique<job_router>(
         self_.domain, callers, metrics_, log_, [this](time_point at) { return owners(at); },
@@ -85,7 +49,7 @@
     callbacks.released = [this](const std::string& domain, const std::string& worker) {
         broadcast(wire::worker_release{domain, worker});
     };
-    callbacks.changed = [this](time_point at) { send_report(at); };
+    callbacks.changed = [this](time_point at) { reports_.send_to_all(at); };
     callbacks.config_current = [this](time_point at) { return config_current(at); };
     return callbacks;
 }
@@ -111,11 +75,7 @@
         .add("request_timeout_ms", to_ms(config()->limits.request_timeout))
         .write();
     metrics_.gauge("chivewharf_config_version") = static_cast<double>(config_.version());
-    report_cache reports{*this, now};
-    for (const auto& [name, host] : directory_.hosts()) {
-        if (host.linked && directory_.same_domain(host))
-            send_report(name, reports);
-    }
+    reports_.send_to_domain(now);
 }
 
 void fleet_host::drains_known(std::uint64_t offset, const std::set<std::string>& domains,
@@ -136,7 +96,7 @@
     log_drains(former, source);
     metrics_.gauge("chivewharf_drained_domains") = static_cast<double>(drains_.domains().size());
     // The other hosts must know the drain before they receive the jobs that it sends back.
-    send_report(now);
+    reports_.send_to_all(now);
     router_->set_drained_domains(drains_.domains(), all_domains_drained());
     claims_.apply_drains(now);
 }
@@ -225,8 +185,7 @@
     peers_.send(host, wire::host_records{{{self_.host, self_.domain, self_.address}}});
     if (now - host_list_requested_ >= min_host_list_interval)
         request_host_list(host, now);
-    report_cache reports{*this, now};
-    send_report(host, reports);
+    reports_.send(host, now);
     // The host may have missed them while it had no link.
     for (const auto& job : cancelled_.passed_on(now))
         peers_.send(host, wire::job_cancel{job, 0});
@@ -276,8 +235,7 @@
             .add("age_ms", to_ms(age))
             .write();
     // The report brings the sender a recent reading of this host's clock.
-    report_cache reports{*this, now};
-    send_report(from, reports);
+    reports_.send(from, now);
     send_result(from, {order.job, order.attempt, wire::job_end::stale, 0}, now);
 }
 
@@ -304,10 +262,8 @@
     if (auto* owner = claims_.find(order.shard)) {
         // A sender that does not know all workers yet is told of them before the answer.
         const auto* sender = directory_.find(from);
-        if (sender != nullptr && sender->worker_revision_sent < claims_.worker_revision()) {
-            report_cache reports{*this, now};
-            send_report(from, reports);
-        }
+        if (sender != nullptr && sender->worker_revision_sent < claims_.worker_revision())
+            reports_.send(from, now);
         const bool remote = sender == nullptr ? self_.domain != order.shard.domain
                                               : sender->record.domain != order.shard.domain;
         owner->submit(std::move(order), from, now, remote);
@@ -546,58 +502,6 @@
     return all;
 }
 
-wire::host_report fleet_host::report(time_point now) const
-{
-    wire::host_report current;
-    current.fence_base = claims_.fence_base();
-    current.known_config = config_.version();
-    current.leaving = claims_.leaving();
-    current.able = claims_.can_claim(now) && !claims_.leaving();
-    current.processor_milli = self_.processor_milli;
-    current.domains = claims_.shard_counts();
-    current.accepts_store_records = true;
-    current.clock_ms = to_ms(now.time_since_epoch());
-    current.operator_offset = drains_.offset();
-    current.drained_domains.assign(drains_.domains().begin(), drains_.domains().end());
-    if (current.drained_domains.size() > wire::max_drained_domains)
-        current.drained_domains.resize(wire::max_drained_domains);
-    current.claims = claims_.claims(now);
-    return current;
-}
-
-void fleet_host::send_report(const std::string& host, report_cache& reports)
-{
-    const auto* known = directory_.find(host);
-    const bool has_lists =
-        known != nullptr && known->worker_revision_sent >= claims_.worker_revision();
-    directory_.report_sent(host, claims_.worker_revision(), reports.now());
-    peers_.send(host, has_lists ? reports.brief() : reports.complete());
-}
-
-void fleet_host::send_report(time_point now)
-{
-    report_cache reports{*this, now};
-    for (const auto& [name, host] : directory_.hosts()) {
-        if (host.linked)
-            send_report(name, reports);
-    }
-}
-
-void fleet_host::send_due_reports(time_point now)
-{
-    report_cache reports{*this, now};
-    for (const auto& [name, host] : directory_.hosts()) {
-        // Hosts that do not pass on store records yet expect all reports of an owner at the short
-        // interval.
-        const bool older = host.report && !host.report->accepts_store_records;
-        const auto interval = report_interval(
-            {directory_.same_domain(host) || older, !claims_.owned().empty(), host.shares_jobs()});
-        if (!host.linked || !interval || now - host.last_report_sent < *interval)
-            continue;
-        send_report(name, reports);
-    }
-}
-
 void fleet_host::drop_silent_hosts(time_point now)
 {
     std::set<std::string> requesters;
@@ -661,7 +565,7 @@
     claims_.tick(now);
     router_->tick(now);
     claims_.interrupt(now);
-    send_due_reports(now);
+    reports_.send_due(now);
 }
 
 bool fleet_host::ready(time_point now) const
@@ -677,7 +581,7 @@
         .add("shards", std::uint64_t{claims_.owned().size()})
         .add("jobs", std::uint64_t{router_->jobs()})
         .write();
-    send_report(now);
+    reports_.send_to_all(now);
 }
 
 void fleet_host::finish_leaving(time_point now)
--- a/modules/fleet/fleet_host.h
+++ b/modules/fleet/fleet_host.h
@@ -12,6 +12,7 @@
 #include <fleet/host_identity.h>
 #include <fleet/job_router.h>
 #include <fleet/ports.h>
+#include <fleet/report_sender.h>
 #include <fleet/request_log.h>
 #include <fleet/shard_claims.h>
 #include <fleet/worker_directory.h>
@@ -137,7 +138,7 @@
     const host_identity& self() const noexcept { return self_; }
 
     /// The report that this host sends to others, without the lists of workers.
-    wire::host_report report(time_point now) const;
+    wire::host_report report(time_point now) const { return reports_.report(now); }
 
 private:
     shard_claims::callbacks claim_callbacks();
@@ -156,15 +157,10 @@
     /// Sends a result to the host that waits for the job, which may be this one.
     void send_result(const std::string& host, const wire::job_result& result, time_point now);
     void handle_report(const std::string& from, const wire::host_report& report, time_point now);
-    class report_cache;
-    /// Sends the report, with the lists of workers if the host does not have them yet.
-    void send_report(const std::string& host, report_cache& reports);
-    void send_report(time_point now);
     void send_host_list(const std::string& host);
     void request_host_list(const std::string& host, time_point now);
     /// Asks one of the linked hosts for its list if that has not happened for a while.
     void request_host_list(time_point now);
-    void send_due_reports(time_point now);
     /// False for records of the operators' topic from a host of an earlier version, which leaves
     /// out the drains. This host then misses records and reads the topic itself.
     bool passes_on_all(const std::string& host, const wire::store_records& records) const;
@@ -198,6 +194,7 @@
     config_state config_;
     drain_state drains_;
     shard_claims claims_;
+    report_sender reports_;
     std::set<std::string> unknown_drains_; ///< drains of unknown domains that were logged
     std::function<void(const wire::store_records&, time_point)> store_records_handler_;
     std::uint64_t config_requests_ = 0;
--- a/modules/fleet/order_age.h
+++ b/modules/fleet/order_age.h
@@ -13,7 +13,8 @@
 /// silent for longer is closed anyway.
 inline constexpr duration max_order_age = short_silence_limit;
 
-/// States in the order when it is sent, by the receiver's clock.
+/// States in the order that it is sent now, by the receiver's clock. Nothing is stated if no
+/// reading of that clock is known.
 void stamp(wire::job_order& order, const peer_clock& receiver, time_point now);
 
 /// Maximum time since the order was sent, by the clock of this host, its receiver; none if its
--- a/modules/fleet/peer_clock.h
+++ b/modules/fleet/peer_clock.h
@@ -11,8 +11,8 @@
 /// way, and the clock has gone on since.
 class peer_clock {
 public:
-    /// Maximum difference between the rates of two hosts' clocks. The kernel's time
-    /// synchronisation slows a clock down by at most half of it.
+    /// Maximum difference between the rates of two hosts' clocks. Time synchronisation changes the
+    /// rate of each by at most half of it.
     static constexpr double max_drift = 0.001;
 
     /// Records a reading that arrived at `received`. It is used if it gives a higher bound.
