--- a/modules/fleet/tests/late_input_test.cpp
+++ b/modules/fleet/tests/late_input_test.cpp
@@ -17,6 +17,14 @@
     return one;
 }
 
+fleet_simulation::options two_domains(std::uint64_t seed)
+{
+    fleet_simulation::options options;
+    options.hosts = {3, 2};
+    options.seed = seed;
+    return options;
+}
+
 /// Cuts or restores the paths between the hosts of two domains.
 void cut_domains(fleet_simulation& simulation, const std::string& a, const std::string& b, bool cut)
 {
@@ -33,10 +41,7 @@
 TEST(late_input, order_that_a_cut_held_back_starts_nothing)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        fleet_simulation::options options;
-        options.hosts = {3, 2};
-        options.seed = seed;
-        fleet_simulation simulation{options};
+        fleet_simulation simulation{two_domains(seed)};
         simulation.run_for(seconds{3});
         // Jobs of domain 0 go to the owner of domain 1.
         simulation.drain("domain-0", true);
@@ -64,10 +69,7 @@
 TEST(late_input, job_whose_time_is_over_is_not_restored_after_a_pause)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        fleet_simulation::options options;
-        options.hosts = {3, 2};
-        options.seed = seed;
-        fleet_simulation simulation{options};
+        fleet_simulation simulation{two_domains(seed)};
         simulation.run_for(seconds{3});
         ASSERT_TRUE(simulation.claims("host-0-1").empty());
         const auto before = simulation.starts();
