--- a/modules/wire/messages.h
+++ b/modules/wire/messages.h
@@ -301,7 +301,7 @@
 ///  - `interrupted`: tasks were started, and none of them is still running.
 ///  - `abandoned`: tasks were started and may run until their lease expires or the domain's next
 ///    owner stops them.
-///  - `expired`: the caller's deadline has passed. Tasks may have been started; none is any more.
+///  - `expired`: the caller's deadline has passed. Tasks may have run, but none starts any more.
 ///  - `stale`: the order may have been on its way for too long; it started no task. Only sent in
 ///    reply to an order that states `sent_at_ms`.
 enum class job_end : std::uint8_t {
