--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -184,9 +184,47 @@
     return count_of(system, "TWICE") > 0 ? 1 : 0;
 }
 
+/// UNASKED: a late copy of a cancelled job's request is run by a machine that was not told of the
+/// cancelling.
+int late_copy_of_a_cancelled_job(deployment& system, bool disrupted)
+{
+    constexpr std::int64_t copy_after_ms = 4000;
+    const std::vector<std::vector<std::string>> ways{{"edge-north-1", "edge-south-1"},
+                                                     {"edge-middle-2", "edge-north-3"},
+                                                     {"edge-south-2", "edge-middle-1"}};
+    system.build(8, 64000);
+    system.start_all();
+    system.wait_until_ready();
+    const json steps = json::array(
+        {{{"count", 2}, {"cpu", 27000}, {"mem_mb", 64}, {"estimate_ms", 900}, {"work_ms", 900}}});
+    int number = 0;
+    for (const auto& way : ways) {
+        const auto id = job_id(++number);
+        std::thread caller{[&] { submit(system, id, {way[0]}, steps, 1500); }};
+        sleep_ms(300);
+        note("DELETE  " + id + " to " + way[0]);
+        const auto cancelled = call(system.named(way[0]), "DELETE", "/jobs/" + id, {}, 3000);
+        note("answer  " + id + " cancel: " + std::to_string(cancelled.status));
+        caller.join();
+        if (cancelled.status != 200)
+            return 2;
+        {
+            const std::lock_guard lock{system.runners.mutex};
+            system.runners.jobs[id].cancel_acked = now_ms();
+        }
+        sleep_ms(copy_after_ms);
+        if (!disrupted)
+            continue;
+        note("COPY    of the request of " + id + " arrives late");
+        submit(system, id, {way[1]}, steps, 1500);
+    }
+    return count_of(system, "UNASKED") > 0 ? 1 : 0;
+}
+
 const std::map<std::string, int (*)(deployment&, bool)> cases{
     {"cancel-at-a-cut-machine", cancel_at_a_cut_machine},
     {"gang-after-a-freeze", gang_after_a_freeze},
+    {"late-copy-of-a-cancelled-job", late_copy_of_a_cancelled_job},
     {"spread-after-a-freeze", spread_after_a_freeze},
     {"resend-beside-late-stops", resend_beside_late_stops},
 };
