Give each run of the review's stand-ins a loopback address of its own

Cause: runs at the same time chose their ports from the same range, and twice machines did not become ready in a run beside others; that it was a taken port was not traced. Change: the loopback address of a run is derived from its process id.

--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -82,12 +82,28 @@
 
 // ---------------------------------------------------------------- sockets and HTTP
 
-int listen_on_free_port(int& port)
+/// Loopback address of this run: another run at the same time has another one.
+const std::string loopback = "127." + std::to_string(1 + getpid() % 200) + "." +
+                             std::to_string(1 + getpid() / 200 % 200) + ".1";
+
+std::string at(int port)
+{
+    return loopback + ":" + std::to_string(port);
+}
+
+sockaddr_in address_of(int port)
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, loopback.c_str(), &address.sin_addr);
+    return address;
+}
+
+int listen_on_free_port(int& port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = address_of(0);
     socklen_t size = sizeof address;
     if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 512) != 0)
         std::exit(2);
@@ -104,11 +120,9 @@
     for (;;) {
         const int port = next++;
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        const bool free = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        const auto address = address_of(port);
+        const bool free =
+            bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
         close(fd);
         if (free)
             return port;
@@ -120,11 +134,8 @@
 int connect_to(int port)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+    const auto address = address_of(port);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         close(fd);
         return -1;
     }
@@ -524,7 +535,7 @@
     void announce(runner& one)
     {
         const json entry{{"service", "desk"},
-                         {"address", "127.0.0.1:" + std::to_string(one.port)},
+                         {"address", at(one.port)},
                          {"zone", one.zone},
                          {"version", "v1"},
                          {"slots", 8},
@@ -890,8 +901,7 @@
         const auto base = folder_ + "/" + one.name;
         json seeds = json::array();
         for (const std::size_t i : {std::size_t{0}, std::size_t{3}, std::size_t{5}})
-            seeds.push_back("127.0.0.1:" + std::to_string(machines[i].proxied));
-        const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+            seeds.push_back(at(machines[i].proxied));
         json settings_file{{"host", one.name},
                            {"domain", one.zone},
                            {"domains", {"north", "middle", "south"}},
