--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -151,7 +151,9 @@
                                       {"estimate_ms", 70000},
                                       {"anti_affinity", 1},
                                       {"work_ms", 70000}}});
-    std::thread other{[&] { submit(system, job_id(8000), {other_machine}, others, 90000); }};
+    std::thread other{[&system, other_machine, others] {
+        submit(system, job_id(8000), {other_machine}, others, 90000);
+    }};
     other.detach();
     sleep_ms(500);
     const json steps = json::array(
