Name the temporary folder of the review's stand-ins by the system's setting

Cause: the folder's place was written into the code. Change: it is the one that the system's setting names.

--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -823,10 +824,9 @@
 public:
     explicit deployment(const std::string& program) : program_{program}
     {
-        char folder[] = "/tmp/review-3-XXXXXX";
-        if (mkdtemp(folder) == nullptr)
+        folder_ = (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
+        if (mkdtemp(folder_.data()) == nullptr)
             std::exit(2);
-        folder_ = folder;
     }
 
     /// Ends the processes and removes the temporary folder.
