Start no task before every former run of it has ended

Cause: whether a former run of a task may still be on a worker stood in a list that each way of placing had to ask. The one for single tasks did, the one for gangs did not.

Evidence: in the owner's log of a freeze of 0.8 s, the stops are ordered at 1,081 ms, run 17 of the gang starts at 1,100 ms on three other workers, and run 1 ends at 1,128 ms. The requester sent the job again rightly, since its caller still waited.

Change: outstanding_runs holds each run by task, worker and number. The sessions of the workers keep it where they occupy and free resources. The placer starts tasks in one function, all that it is given or none, which asks it. On related paths: runs that an earlier owner started count, also on a worker that is no longer listed, and end with their lease if the worker is silent; a refused job with an outstanding run ends as abandoned, so that no requester sends it to another domain at once; a task that waits does not keep the others of its step waiting; the end of one run of a task is not taken for the end of all.

Why it works: no start can pass the placer beside a run whose end is not known, whichever way chose it.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -26,6 +26,7 @@
 #include <fleet/job_run.h>
 #include <fleet/operator_key.h>
 #include <fleet/order_age.h>
+#include <fleet/outstanding_runs.h>
 #include <fleet/owner_choice.h>
 #include <fleet/owner_view.h>
 #include <fleet/peer_clock.h>
--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -1,6 +1,7 @@
 #include <fleet/job_placer.h>
 
 #include <algorithm>
+#include <base/log_line.h>
 #include <fleet/placement.h>
 #include <utility>
 
@@ -29,13 +30,20 @@
 
 bool job_placer::place(job_run& job, const job_times& times, time_point now)
 {
-    if (!known_not_to_fit(job)) {
-        if (place_tasks(job, times.objective, now))
-            return true;
-        if (waits_for_room_only(job))
-            backfill_.found_no_worker(job.order.service, demand_of(job.order.steps.front()));
+    const bool tried = !known_not_to_fit(job);
+    if (tried && place_tasks(job, times.objective, now))
+        return true;
+    // A job that waits for the end of a former run tells nothing about room, and holds none.
+    const auto next = job.first_waiting();
+    if (!next)
+        return false;
+    if (has_former_run(job, *next)) {
+        log_former_run(job, *next);
+        return false;
     }
-    reserve_worker(job, times.start_by, now);
+    if (tried && waits_for_room_only(job))
+        backfill_.found_no_worker(job.order.service, demand_of(job.order.steps.front()));
+    reserve_worker(job, *next, times.start_by, now);
     return false;
 }
 
@@ -52,6 +60,10 @@
         for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
             if (job.steps[step].tasks[index].state != task_state::waiting)
                 continue;
+            if (has_former_run(job, {step, index})) {
+                all = false;
+                continue;
+            }
             if (!place_task(job, {step, index}, objective, now)) {
                 all = false;
                 break;
@@ -61,9 +73,29 @@
     return all;
 }
 
-bool job_placer::lingers(const job_run& job, task_position position) const
+void job_placer::log_former_run(job_run& job, task_position position)
 {
-    return shard_.lingering_tasks.contains(job.task_name(position));
+    if (std::exchange(job.former_run_logged, true))
+        return;
+    log_line{"job_waits_for_former_run"}
+        .add("job", job.order.job)
+        .add("task", job.task_name(position))
+        .add("attempt", job.order.attempt)
+        .write();
+}
+
+bool job_placer::start_tasks(job_run& job, std::size_t step,
+                             const std::vector<placement>& placements, time_point now)
+{
+    const bool former_run =
+        std::any_of(placements.begin(), placements.end(), [&](const placement& one) {
+            return has_former_run(job, {step, one.index});
+        });
+    if (former_run)
+        return false;
+    for (const auto& one : placements)
+        start_(job, {step, one.index}, *one.worker, now);
+    return true;
 }
 
 bool job_placer::place_gang(job_run& job, std::size_t step, time_point now)
@@ -71,35 +103,39 @@
     auto& tasks = job.steps[step].tasks;
     if (job.steps[step].done == tasks.size() || job.steps[step].active > 0)
         return true;
-    const auto demand = demand_of(job.order.steps[step]);
-    // Gang members start only if all of them fit at the same time.
-    std::map<std::string, std::size_t> planned;
-    std::size_t found = 0;
-    for (auto& [id, worker] : shard_.workers) {
-        auto free = worker.session->free();
-        while (found < tasks.size() && free.fits(demand) &&
-               admits(worker, job, {step, found}, now) &&
-               (job.order.steps[step].max_per_worker == 0 ||
-                planned[id] < job.order.steps[step].max_per_worker)) {
-            free -= demand;
-            ++planned[id];
-            ++found;
-        }
-    }
-    if (found < tasks.size() ||
-        !shard_.share_admits(demand.cpu_milli * static_cast<std::int64_t>(tasks.size())))
+    const auto placements = choose_gang_workers(job, step, now);
+    const auto demand = job.order.steps[step].cpu_milli * static_cast<std::int64_t>(tasks.size());
+    if (placements.empty() || !shard_.share_admits(demand))
         return false;
     const auto run = std::max_element(tasks.begin(), tasks.end(), [](auto& a, auto& b) {
                          return a.run < b.run;
                      })->run;
-    std::size_t index = 0;
-    for (const auto& [id, count] : planned) {
-        for (std::size_t i = 0; i < count; ++i, ++index) {
-            tasks[index].run = run;
-            start_(job, {step, index}, shard_.workers.at(id), now);
+    for (auto& task : tasks)
+        task.run = run;
+    return start_tasks(job, step, placements, now);
+}
+
+std::vector<job_placer::placement> job_placer::choose_gang_workers(const job_run& job,
+                                                                   std::size_t step, time_point now)
+{
+    const auto& order = job.order.steps[step];
+    const auto demand = demand_of(order);
+    const auto count = job.steps[step].tasks.size();
+    std::vector<placement> placements;
+    for (auto& [id, worker] : shard_.workers) {
+        auto free = worker.session->free();
+        std::uint32_t here = 0;
+        while (placements.size() < count && free.fits(demand) &&
+               admits(worker, job, {step, placements.size()}, now) &&
+               (order.max_per_worker == 0 || here < order.max_per_worker)) {
+            free -= demand;
+            ++here;
+            placements.push_back({placements.size(), &worker});
         }
     }
-    return true;
+    if (placements.size() < count)
+        placements.clear();
+    return placements;
 }
 
 bool job_placer::may_run(const managed_worker& worker, const job_run& job, task_position position,
@@ -127,13 +163,10 @@
 bool job_placer::place_task(job_run& job, task_position position, time_point objective,
                             time_point now)
 {
-    if (lingers(job, position) || !shard_.share_admits(job.order.steps[position.step].cpu_milli))
+    if (!shard_.share_admits(job.order.steps[position.step].cpu_milli))
         return false;
     auto* worker = choose_worker(job, position, objective, now);
-    if (worker == nullptr)
-        return false;
-    start_(job, position, *worker, now);
-    return true;
+    return worker != nullptr && start_tasks(job, position.step, {{position.index, worker}}, now);
 }
 
 managed_worker* job_placer::choose_worker(const job_run& job, task_position position,
@@ -174,20 +207,18 @@
     const auto& step = job.order.steps.front();
     const bool plain = job.order.steps.size() == 1 && step.required_label.empty() && !step.gang &&
                        step.max_per_worker == 0;
-    const auto next = job.first_waiting();
-    return plain && next && !lingers(job, *next) &&
-           std::all_of(shard_.workers.begin(), shard_.workers.end(),
-                       [&](const auto& one) { return one.second.known_to_requester(job.order); });
+    return plain && std::all_of(shard_.workers.begin(), shard_.workers.end(), [&](const auto& one) {
+               return one.second.known_to_requester(job.order);
+           });
 }
 
-void job_placer::reserve_worker(const job_run& job, time_point start_by, time_point now)
+void job_placer::reserve_worker(const job_run& job, task_position next, time_point start_by,
+                                time_point now)
 {
     const auto& service = job.order.service;
-    const auto position = job.first_waiting();
-    if (!position || job.order.steps[position->step].gang || lingers(job, *position) ||
-        !backfill_.begin_search(service, job.order.job, now))
+    if (job.order.steps[next.step].gang || !backfill_.begin_search(service, job.order.job, now))
         return;
-    const auto demand = demand_of(job.order.steps[position->step]);
+    const auto demand = demand_of(job.order.steps[next.step]);
     // A reserved worker's resources are lost to other jobs until it has room, and a demand of less
     // than 1.2 times the typical one finds room without a reservation.
     if (demand.cpu_milli * 5 < shard_.profile.typical_demand() * 6)
@@ -195,7 +226,7 @@
     std::string best;
     auto earliest = start_by;
     for (const auto& [id, worker] : shard_.workers) {
-        if (!may_run(worker, job, *position, now))
+        if (!may_run(worker, job, next, now))
             continue;
         const auto at =
             room_expected_at(worker.session->free(), releases_of(worker, now), demand, now);
--- a/modules/fleet/job_run.cpp
+++ b/modules/fleet/job_run.cpp
@@ -109,7 +109,12 @@
 
 std::string job_run::task_name(task_position position) const
 {
-    return order.job + ".0." + std::to_string(position.step) + '.' + std::to_string(position.index);
+    return task_prefix(order.job, position.step) + std::to_string(position.index);
+}
+
+std::string job_run::task_prefix(const std::string& job, std::size_t step)
+{
+    return task_prefix(job) + "0." + std::to_string(step) + '.';
 }
 
 std::string job_run::job_of(std::string_view task_name)
--- a/modules/fleet/job_run.h
+++ b/modules/fleet/job_run.h
@@ -69,6 +69,10 @@
     /// `JOB.0.STEP.INDEX`
     std::string task_name(task_position position) const;
 
+    /// What the names of all tasks of a job begin with, or those of one of its steps.
+    static std::string task_prefix(const std::string& job) { return job + '.'; }
+    static std::string task_prefix(const std::string& job, std::size_t step);
+
     /// Id of the job that a task belongs to.
     static std::string job_of(std::string_view task_name);
 
@@ -85,6 +89,7 @@
     std::uint32_t priority = 0;               ///< with which it waits
     bool waits = false;                       ///< it is in the owner's queue
     bool started = false;                     ///< the start of a task was ordered
+    bool former_run_logged = false;           ///< that it waits for the end of a former run
     duration longest_run{};                   ///< of its completed tasks
     std::optional<time_point> orphaned_since; ///< when the link to the requester was lost
 };
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -29,7 +29,7 @@
                          request_log& log, callbacks cb)
     : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log},
       callbacks_{std::move(cb)}, forecast_{{workers_, jobs_, queue_, profile_, model_}},
-      placer_{{workers_, jobs_, model_, profile_, lingering_tasks_,
+      placer_{{workers_, jobs_, model_, profile_, runs_,
                [this](std::int64_t cpu_milli) { return forecast_.share_admits(cpu_milli); }},
               [this](job_run& job, task_position position, managed_worker& worker, time_point now) {
                   order_start(job, position, worker, now);
@@ -79,7 +79,7 @@
 {
     managed_worker added;
     added.added_in = revision;
-    added.session = std::make_shared<worker_session>(entry, port_, *this);
+    added.session = std::make_shared<worker_session>(entry, port_, *this, runs_);
     auto& worker = workers_.insert_or_assign(entry.id, std::move(added)).first->second;
     // The leaving predecessor may have started tasks on a new worker too. Acquiring it would take
     // the worker away from them and make the predecessor give up all its jobs.
@@ -117,9 +117,9 @@
     if (leaving_)
         release_idle_workers(now);
     for (auto it = workers_.begin(); it != workers_.end();) {
-        // A worker with tasks is kept until they have ended or their lease has expired.
+        // A worker with runs is kept until they have ended or their lease has expired.
         it->second.listed = listed.contains(it->first);
-        if (it->second.listed || !it->second.session->tasks().empty()) {
+        if (it->second.listed || !it->second.session->idle()) {
             ++it;
             continue;
         }
@@ -141,7 +141,7 @@
 bool shard_owner::has_worker_to_remove() const
 {
     return std::any_of(workers_.begin(), workers_.end(), [](const auto& one) {
-        return !one.second.listed && one.second.session->tasks().empty();
+        return !one.second.listed && one.second.session->idle();
     });
 }
 
@@ -227,7 +227,8 @@
         job.deadline = now + milliseconds{order.remaining_ms};
         return;
     }
-    auto refuse = [&](wire::job_end reason) {
+    auto refuse = [&](wire::job_end why) {
+        const auto reason = end_to_report(order.job, why);
         count_end(reason);
         if (log_.should_log(order.job, now))
             log_line{"job_refused"}
@@ -271,7 +272,8 @@
 void shard_owner::refuse_overloaded(const job_run& job, std::string_view reason, duration wait,
                                     time_point now)
 {
-    count_end(wire::job_end::overloaded);
+    const auto end = end_to_report(job.order.job, wire::job_end::overloaded);
+    count_end(end);
     ++metrics_.counter("chivewharf_overload_refusals_total",
                        "reason=\"" + std::string{reason} + "\",priority=\"" +
                            std::to_string(job.priority) + '"');
@@ -280,7 +282,7 @@
         log_line{"job_refused"}
             .add("job", job.order.job)
             .add("shard", to_text(shard_))
-            .add("why", to_name(wire::job_end::overloaded))
+            .add("why", to_name(end))
             .add("reason", reason)
             .add("priority", job.priority)
             .add("wait_ms", to_ms(wait))
@@ -292,9 +294,7 @@
             .add("run_ms", to_ms(profile_.mean_run_time(now).value_or(duration{0})))
             .add("retry_after_ms", retry_after)
             .write();
-    callbacks_.result(job.requester,
-                      {job.order.job, job.order.attempt, wire::job_end::overloaded, retry_after},
-                      now);
+    callbacks_.result(job.requester, {job.order.job, job.order.attempt, end, retry_after}, now);
 }
 
 void shard_owner::refuse_waiting(const std::string& id, std::string_view reason, duration wait,
@@ -435,7 +435,6 @@
     else if (end == task_end::failed &&
              ++worker.consecutive_failures >= avoidance_failure_threshold)
         avoid(worker, "tasks fail", now);
-    lingering_tasks_.erase(tracked.task);
     auto* known = find_job_of_current_run(tracked);
     if (known == nullptr)
         return;
@@ -486,7 +485,6 @@
     if (reason == order_outcome::refused || reason == order_outcome::no_room ||
         reason == order_outcome::not_sent)
         avoid(workers_.at(session.entry().id), to_name(reason), now);
-    lingering_tasks_.erase(tracked.task);
     const auto job_id = job_run::job_of(tracked.task);
     log_line{"start_rejected"}
         .add("job", job_id)
@@ -537,9 +535,7 @@
             const auto worker = workers_.find(task.worker);
             if (worker == workers_.end())
                 continue;
-            const auto name = job.task_name({step, index});
-            lingering_tasks_[name] = task.worker;
-            worker->second.session->stop(name, now);
+            worker->second.session->stop(job.task_name({step, index}), now);
         }
     }
 }
@@ -583,11 +579,20 @@
     ++metrics_.counter("chivewharf_job_ends_total", "end=\"" + std::string{to_name(end)} + '"');
 }
 
-void shard_owner::finish(const std::string& id, wire::job_end end, time_point now)
+wire::job_end shard_owner::end_to_report(const std::string& job, wire::job_end end) const
+{
+    const bool may_be_sent_elsewhere =
+        end == wire::job_end::overloaded || end == wire::job_end::not_owner ||
+        end == wire::job_end::impossible || end == wire::job_end::interrupted;
+    return may_be_sent_elsewhere && runs_.contains_job(job) ? wire::job_end::abandoned : end;
+}
+
+void shard_owner::finish(const std::string& id, wire::job_end why, time_point now)
 {
     const auto job = remove_job(id, now);
     if (!job)
         return;
+    const auto end = end_to_report(id, why);
     count_end(end);
     if (log_.should_log(id, now))
         log_line{"job_end"}
@@ -660,7 +665,7 @@
     // here. The requester sends them to another owner.
     std::vector<std::string> stuck;
     for (const auto& [id, job] : jobs_) {
-        if (!job->any_active())
+        if (!job->any_active() && !runs_.contains_job(id))
             stuck.push_back(id);
     }
     for (const auto& id : stuck)
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -7,6 +7,7 @@
 #include <fleet/job_queue.h>
 #include <fleet/job_run.h>
 #include <fleet/managed_worker.h>
+#include <fleet/outstanding_runs.h>
 #include <fleet/ports.h>
 #include <fleet/progress_check.h>
 #include <fleet/request_log.h>
@@ -169,7 +170,11 @@
     void start_waiting(std::uint32_t priority, bool reserved_share_only, time_point now);
     void order_start(job_run& job, task_position position, managed_worker& worker, time_point now);
     void avoid(managed_worker& worker, std::string_view reason, time_point now);
-    void finish(const std::string& job, wire::job_end end, time_point now);
+    void finish(const std::string& job, wire::job_end why, time_point now);
+    /// The end that the requester is told. After one that lets it send the job to another owner at
+    /// once, a run of the job must not be on a worker any more, not even one of an earlier
+    /// submission. Otherwise the job is `abandoned`, and the requester waits.
+    wire::job_end end_to_report(const std::string& job, wire::job_end end) const;
     void end_all_jobs(time_point now);
     /// Removes the job from all tables and stops its tasks; null if the job is not known.
     std::unique_ptr<job_run> remove_job(const std::string& job, time_point now);
@@ -186,7 +191,7 @@
     void release_idle_workers(time_point now);
     /// Ends the jobs that have not started; their requesters send them to other owners.
     void give_back_unstarted(wire::job_end end, time_point now);
-    /// Ends the started jobs without an active task as `interrupted`.
+    /// Ends the jobs of which no run can be on a worker any more as `interrupted`.
     void end_idle_jobs(time_point now);
     void count_end(wire::job_end end);
 
@@ -196,15 +201,13 @@
     request_log& log_;
     callbacks callbacks_;
     run_time_model model_;
+    outstanding_runs runs_;
     worker_map workers_;
     shared_worker_list workers_in_use_ = std::make_shared<const worker_list>();
     job_map jobs_;
     job_queue queue_;
     demand_profile profile_;
     shard_forecast forecast_;
-    /// Tasks of ended jobs that may still be on a worker; they are not started again before their
-    /// end is known.
-    std::map<std::string, std::string> lingering_tasks_; ///< worker by task
     job_placer placer_;
     std::uint64_t token_ = 0;
     time_point next_progress_check_{};
--- a/modules/fleet/worker_session.cpp
+++ b/modules/fleet/worker_session.cpp
@@ -19,11 +19,21 @@
 
 } // namespace
 
-worker_session::worker_session(worker_entry entry, worker_port& port, session_observer& observer)
-    : entry_{std::move(entry)}, port_{port}, observer_{observer}
+worker_session::worker_session(worker_entry entry, worker_port& port, session_observer& observer,
+                               outstanding_runs& runs)
+    : entry_{std::move(entry)}, port_{port}, observer_{observer}, runs_{runs}
 {
 }
 
+void worker_session::close()
+{
+    if (std::exchange(closed_, true))
+        return;
+    for (const auto& [name, task] : tasks_)
+        runs_.remove(name, entry_.id, task.run);
+    set_inherited_runs({});
+}
+
 void worker_session::update(const worker_entry& entry, time_point now)
 {
     const bool new_incarnation =
@@ -86,6 +96,7 @@
     tracked.ordered_at = now;
     tracked.incarnation = incarnation_;
     used_ += demand;
+    runs_.add(task, entry_.id, run);
     auto& added = tasks_.insert_or_assign(task, std::move(tracked)).first->second;
     const held_start order{task, run, payload, saved};
     if (!hold) {
@@ -130,12 +141,8 @@
 {
     for (const auto& held : std::exchange(held_starts_, {})) {
         const auto found = tasks_.find(held.task);
-        if (found == tasks_.end() || found->second.run != held.run)
-            continue;
-        const auto tracked = found->second;
-        used_ -= tracked.demand;
-        tasks_.erase(found);
-        observer_.start_rejected(*this, tracked, reason, now);
+        if (found != tasks_.end() && found->second.run == held.run)
+            reject_start(found, reason, now);
     }
 }
 
@@ -166,12 +173,8 @@
         send_stop(found->second, now);
         return;
     }
-    if (known) {
-        const auto tracked = found->second;
-        used_ -= tracked.demand;
-        tasks_.erase(found);
-        observer_.start_rejected(*this, tracked, reply.outcome, now);
-    }
+    if (known)
+        reject_start(found, reply.outcome, now);
     if (reply.outcome == order_outcome::fenced)
         on_fenced(now);
     else if (reply.outcome == order_outcome::other_incarnation)
@@ -230,6 +233,15 @@
                });
 }
 
+void worker_session::set_inherited_runs(std::map<std::string, std::uint32_t> inherited)
+{
+    for (const auto& [task, run] : inherited_runs_)
+        runs_.remove(task, entry_.id, run);
+    inherited_runs_ = std::move(inherited);
+    for (const auto& [task, run] : inherited_runs_)
+        runs_.add(task, entry_.id, run);
+}
+
 bool worker_session::poll_due(time_point now) const noexcept
 {
     if (poll_in_flight_ || closed_ || now < next_poll_)
@@ -350,7 +362,10 @@
             stop_inherited_run(task, run, now);
         }
     }
-    inherited_runs_ = std::move(inherited);
+    set_inherited_runs(std::move(inherited));
+    // The token of the poll keeps their owner from renewing the lease.
+    if (!inherited_runs_.empty())
+        last_expiry_ms_ = std::max(last_expiry_ms_, reply.clock_ms + to_ms(max_lease));
     if (reply.more_ends)
         return;
     std::vector<std::string> gone;
@@ -369,12 +384,26 @@
         end_task(tasks_.find(name), task_end::lapsed, {}, now);
 }
 
+tracked_task worker_session::remove_task(std::map<std::string, tracked_task>::iterator where)
+{
+    auto tracked = std::move(where->second);
+    tasks_.erase(where);
+    used_ -= tracked.demand;
+    runs_.remove(tracked.task, entry_.id, tracked.run);
+    return tracked;
+}
+
+void worker_session::reject_start(std::map<std::string, tracked_task>::iterator where,
+                                  order_outcome reason, time_point now)
+{
+    const auto tracked = remove_task(where);
+    observer_.start_rejected(*this, tracked, reason, now);
+}
+
 void worker_session::end_task(std::map<std::string, tracked_task>::iterator where, task_end reason,
                               const std::string& saved, time_point now)
 {
-    const auto tracked = where->second;
-    used_ -= tracked.demand;
-    tasks_.erase(where);
+    const auto tracked = remove_task(where);
     observer_.task_ended(*this, tracked, reason, saved, now);
 }
 
@@ -409,15 +438,15 @@
 {
     if (closed_ || phase_ == phase::unowned)
         return;
-    // Without contact, all tasks have ended once the worker's clock has passed the end of the last
+    // Without contact, all runs have ended once the worker's clock has passed the end of the last
     // lease.
-    if (misses_ > 0 && !tasks_.empty() && clock_.known() &&
-        now > clock_.certainly_past(last_expiry_ms_)) {
+    if (misses_ > 0 && !idle() && clock_.known() && now > clock_.certainly_past(last_expiry_ms_)) {
         log_line{"lease_over"}
             .add("worker", entry_.id)
             .add("tasks", std::uint64_t{tasks_.size()})
+            .add("inherited", std::uint64_t{inherited_runs_.size()})
             .write();
-        inherited_runs_.clear();
+        set_inherited_runs({});
         end_all_tasks(task_end::lapsed, now);
         if (phase_ == phase::owned)
             phase_ = phase::acquiring;
--- a/modules/fleet/worker_session.h
+++ b/modules/fleet/worker_session.h
@@ -2,6 +2,7 @@
 
 #include <base/time.h>
 #include <cstdint>
+#include <fleet/outstanding_runs.h>
 #include <fleet/ports.h>
 #include <fleet/types.h>
 #include <fleet/worker_clock.h>
@@ -70,7 +71,9 @@
     /// Maximum lease that any owner can have granted, by the worker's clock.
     static constexpr duration max_lease = milliseconds{1000};
 
-    worker_session(worker_entry entry, worker_port& port, session_observer& observer);
+    /// \param runs of the shard; the session keeps those that may be on its worker
+    worker_session(worker_entry entry, worker_port& port, session_observer& observer,
+                   outstanding_runs& runs);
 
     const worker_entry& entry() const noexcept { return entry_; }
 
@@ -81,8 +84,9 @@
     /// that this session does not know.
     void acquire(std::uint64_t token, time_point now);
 
-    /// Closes the session: it sends no further orders and no longer calls the observer.
-    void close() noexcept { closed_ = true; }
+    /// Closes the session: it sends no further orders, no longer calls the observer, and removes
+    /// its runs.
+    void close();
 
     /// True if tasks may be started: the worker is owned, answers, is not leaving, runs no tasks of
     /// an earlier owner, and its entry is that of the incarnation which answers.
@@ -91,6 +95,9 @@
     /// True if no task that an earlier owner started can still run on the worker.
     bool takeover_complete() const noexcept;
 
+    /// True if no run may be on the worker, neither of this owner nor of an earlier one.
+    bool idle() const noexcept { return tasks_.empty() && inherited_runs_.empty(); }
+
     bool owned() const noexcept { return phase_ == phase::owned; }
     bool answering() const noexcept { return misses_ == 0; }
 
@@ -99,9 +106,10 @@
 
     const std::map<std::string, tracked_task>& tasks() const noexcept { return tasks_; }
 
-    /// Orders a start. Call it only if the worker is `usable` and has enough free resources. If an
-    /// idle worker has not answered for `max_unconfirmed`, it is asked first whether it is still
-    /// the same incarnation, and the order is sent once it has confirmed that.
+    /// Orders a start. Call it only if the worker is `usable` and has enough free resources, and if
+    /// no run of the task is outstanding. If an idle worker has not answered for `max_unconfirmed`,
+    /// it is asked first whether it is still the same incarnation, and the order is sent once it
+    /// has confirmed that.
     void start(const std::string& task, std::uint32_t run, const resources& demand,
                const std::string& payload, const std::string& saved, time_point now);
 
@@ -143,6 +151,11 @@
     void on_stop_reply(const std::string& task, std::uint32_t run, const order_reply& reply);
     void send_stop(tracked_task& task, time_point now);
     void stop_inherited_run(const std::string& task, std::uint32_t run, time_point now);
+    void set_inherited_runs(std::map<std::string, std::uint32_t> inherited);
+    /// Frees the resources of a run that is not on the worker any more.
+    tracked_task remove_task(std::map<std::string, tracked_task>::iterator where);
+    void reject_start(std::map<std::string, tracked_task>::iterator where, order_outcome reason,
+                      time_point now);
     void end_task(std::map<std::string, tracked_task>::iterator where, task_end reason,
                   const std::string& saved, time_point now);
     void end_all_tasks(task_end reason, time_point now);
@@ -152,6 +165,7 @@
     worker_entry entry_;
     worker_port& port_;
     session_observer& observer_;
+    outstanding_runs& runs_;
     worker_clock clock_;
     std::map<std::string, tracked_task> tasks_;
     std::vector<held_start> held_starts_;
