Count tasks that are being stopped for the spread limit

Cause: the limit was held against the active tasks of the job as it was sent last. Those of its former submission, which were still being stopped, belong to no job any more.

Change: the limit is held against the outstanding runs of the step on the worker, for single tasks and gangs in one function.

Why it works: a run is outstanding until its end is known, whichever submission it belongs to.

--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -7,22 +7,6 @@
 
 namespace chivewharf::fleet {
 
-namespace {
-
-bool below_spread_limit(const job_run& job, task_position position, const std::string& worker)
-{
-    const auto limit = job.order.steps[position.step].max_per_worker;
-    if (limit == 0)
-        return true;
-    const auto& tasks = job.steps[position.step].tasks;
-    const auto there = std::count_if(tasks.begin(), tasks.end(), [&](const task_run& task) {
-        return task.state == task_state::active && task.worker == worker;
-    });
-    return static_cast<std::uint32_t>(there) < limit;
-}
-
-} // namespace
-
 job_placer::job_placer(context shard, start_function start)
     : shard_{std::move(shard)}, start_{std::move(start)}
 {
@@ -118,18 +102,16 @@
 std::vector<job_placer::placement> job_placer::choose_gang_workers(const job_run& job,
                                                                    std::size_t step, time_point now)
 {
-    const auto& order = job.order.steps[step];
-    const auto demand = demand_of(order);
+    const auto demand = demand_of(job.order.steps[step]);
     const auto count = job.steps[step].tasks.size();
     std::vector<placement> placements;
     for (auto& [id, worker] : shard_.workers) {
         auto free = worker.session->free();
-        std::uint32_t here = 0;
-        while (placements.size() < count && free.fits(demand) &&
-               admits(worker, job, {step, placements.size()}, now) &&
-               (order.max_per_worker == 0 || here < order.max_per_worker)) {
+        auto left = spread_left(job, step, id);
+        while (placements.size() < count && left > 0 && free.fits(demand) &&
+               admits(worker, job, {step, placements.size()}, now)) {
             free -= demand;
-            ++here;
+            --left;
             placements.push_back({placements.size(), &worker});
         }
     }
@@ -138,13 +120,23 @@
     return placements;
 }
 
+std::size_t job_placer::spread_left(const job_run& job, std::size_t step,
+                                    const std::string& worker) const
+{
+    const auto limit = job.order.steps[step].max_per_worker;
+    if (limit == 0)
+        return job.steps[step].tasks.size();
+    const auto there = shard_.runs.count(job.order.job, step, worker);
+    return limit - std::min<std::size_t>(there, limit);
+}
+
 bool job_placer::may_run(const managed_worker& worker, const job_run& job, task_position position,
                          time_point now) const
 {
     return worker.accepts_tasks() && now >= worker.avoid_until &&
            worker.known_to_requester(job.order) &&
            worker.suits(job.order, job.order.steps[position.step]) &&
-           below_spread_limit(job, position, worker.session->entry().id);
+           spread_left(job, position.step, worker.session->entry().id) > 0;
 }
 
 bool job_placer::admits(const managed_worker& worker, const job_run& job, task_position position,
--- a/modules/fleet/job_placer.h
+++ b/modules/fleet/job_placer.h
@@ -73,6 +73,9 @@
     bool place_task(job_run& job, task_position position, time_point objective, time_point now);
     managed_worker* choose_worker(const job_run& job, task_position position, time_point objective,
                                   time_point now);
+    /// Number of further tasks of the step that its spread limit permits on the worker. Tasks of a
+    /// former submission that are being stopped there count, too.
+    std::size_t spread_left(const job_run& job, std::size_t step, const std::string& worker) const;
     /// True if the worker may run the task once it has room.
     bool may_run(const managed_worker& worker, const job_run& job, task_position position,
                  time_point now) const;
--- a/modules/fleet/tests/former_run_test.cpp
+++ b/modules/fleet/tests/former_run_test.cpp
@@ -85,6 +85,20 @@
     EXPECT_EQ(fixture.port.starts[3].order.task, fixture.port.stops[0].task);
 }
 
+// Guards against more tasks of a step on a worker than the job allows: a task of the former
+// submission was still being stopped there.
+TEST(former_run, tasks_that_are_being_stopped_count_for_the_spread_limit)
+{
+    auto spread = step(3, 1000);
+    spread.max_per_worker = 1;
+    stopping_job fixture{spread};
+    const auto now = start + milliseconds{60};
+    fixture.end_stopped(0, now);
+    fixture.submit_again("h", now);
+    ASSERT_EQ(fixture.port.starts.size(), 4U);
+    EXPECT_EQ(fixture.port.starts[3].order.to.id, fixture.port.stops[0].to.id);
+}
+
 // Guards against two runs of a job in two failure domains: its owner refuses it while a former run
 // is being stopped, and the requester, which knows of no other run, sends it elsewhere at once.
 TEST(former_run, refused_job_is_not_free_to_run_elsewhere_before_it_has_ended)
