Part the workers and their hand-over from shard_owner

Change: shard_workers, with the functions as they were; the update of the list is in two steps, since a leaving owner releases idle workers between them. No change of behaviour.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -45,6 +45,7 @@
 #include <fleet/shard_forecast.h>
 #include <fleet/shard_owner.h>
 #include <fleet/shard_plan.h>
+#include <fleet/shard_workers.h>
 #include <fleet/topic_follower.h>
 #include <fleet/topic_reader.h>
 #include <fleet/types.h>
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -27,9 +27,10 @@
 
 shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
                          request_log& log, callbacks cb)
-    : shard_{std::move(shard)}, port_{port}, metrics_{metrics}, log_{log},
-      callbacks_{std::move(cb)}, forecast_{{workers_, jobs_, queue_, profile_, model_}},
-      placer_{{workers_, jobs_, model_, profile_, runs_,
+    : shard_{std::move(shard)}, metrics_{metrics}, log_{log}, callbacks_{std::move(cb)},
+      workers_{shard_, {port, *this, runs_, model_}}, forecast_{{workers_.all(), jobs_, queue_,
+                                                                 profile_, model_}},
+      placer_{{workers_.all(), jobs_, model_, profile_, runs_,
                [this](std::int64_t cpu_milli) { return forecast_.share_admits(cpu_milli); }},
               [this](job_run& job, task_position position, managed_worker& worker, time_point now) {
                   order_start(job, position, worker, now);
@@ -37,119 +38,30 @@
 {
 }
 
-shard_owner::~shard_owner()
-{
-    for (auto& [id, worker] : workers_)
-        worker.session->close();
-}
-
 void shard_owner::acquire_workers(std::uint64_t token, bool wait_for_release, time_point now)
 {
-    token_ = token;
     suspended_ = false;
-    takeover_logged_ = false;
-    predecessor_leaving_ = wait_for_release;
-    for (auto& [id, worker] : workers_) {
-        worker.held_by_predecessor = wait_for_release;
-        if (!wait_for_release)
-            worker.session->acquire(token, now);
-    }
-}
-
-void shard_owner::worker_released(const std::string& worker, time_point now)
-{
-    const auto found = workers_.find(worker);
-    if (found == workers_.end() || !found->second.held_by_predecessor)
-        return;
-    found->second.held_by_predecessor = false;
-    found->second.session->acquire(token_, now);
-}
-
-void shard_owner::predecessor_gone(time_point now)
-{
-    predecessor_leaving_ = false;
-    for (auto& [id, worker] : workers_) {
-        if (!std::exchange(worker.held_by_predecessor, false))
-            continue;
-        worker.session->acquire(token_, now);
-    }
-}
-
-void shard_owner::add_worker(const worker_entry& entry, std::uint64_t revision, time_point now)
-{
-    managed_worker added;
-    added.added_in = revision;
-    added.session = std::make_shared<worker_session>(entry, port_, *this, runs_);
-    auto& worker = workers_.insert_or_assign(entry.id, std::move(added)).first->second;
-    // The leaving predecessor may have started tasks on a new worker too. Acquiring it would take
-    // the worker away from them and make the predecessor give up all its jobs.
-    worker.held_by_predecessor = predecessor_leaving_;
-    if (token_ != 0 && !leaving_ && !predecessor_leaving_)
-        worker.session->acquire(token_, now);
-}
-
-void shard_owner::update_entry(managed_worker& worker, const worker_entry& entry, time_point now)
-{
-    if (entry.incarnation != worker.session->entry().incarnation) {
-        model_.forget(entry.id);
-        worker.consecutive_failures = 0;
-        worker.avoid_until = {};
-        worker.last_avoidance = {};
-    }
-    worker.session->update(entry, now);
+    workers_.acquire(token, wait_for_release, now);
 }
 
 bool shard_owner::update_workers(const std::vector<worker_entry>& workers, std::uint64_t revision,
                                  time_point now)
 {
-    std::set<std::string> listed;
-    for (const auto& entry : workers) {
-        if (!contains(shard_, entry))
-            continue;
-        listed.insert(entry.id);
-        const auto found = workers_.find(entry.id);
-        if (found == workers_.end())
-            add_worker(entry, revision, now);
-        else if (found->second.session->entry() != entry)
-            update_entry(found->second, entry, now);
-    }
+    workers_.list(workers, revision, now);
     // The successor waits for the release of each worker, so a removed one must be released first.
     if (leaving_)
         release_idle_workers(now);
-    for (auto it = workers_.begin(); it != workers_.end();) {
-        // A worker with runs is kept until they have ended or their lease has expired.
-        it->second.listed = listed.contains(it->first);
-        if (it->second.listed || !it->second.session->idle()) {
-            ++it;
-            continue;
-        }
-        it->second.session->close();
-        model_.forget(it->first);
-        it = workers_.erase(it);
-    }
-    std::set<std::string> in_use;
-    for (const auto& [id, worker] : workers_)
-        in_use.insert(id);
-    const bool changed = in_use != workers_in_use_->ids;
-    if (changed)
-        workers_in_use_ =
-            std::make_shared<const worker_list>(worker_list{revision, std::move(in_use)});
+    const bool changed = workers_.remove_unlisted(revision);
     schedule(now);
     return changed;
 }
 
-bool shard_owner::has_worker_to_remove() const
-{
-    return std::any_of(workers_.begin(), workers_.end(), [](const auto& one) {
-        return !one.second.listed && one.second.session->idle();
-    });
-}
-
 bool shard_owner::satisfiable(const wire::job_order& order) const
 {
     return std::all_of(order.steps.begin(), order.steps.end(), [&](const wire::job_step& step) {
         const auto demand = demand_of(step);
-        return std::any_of(workers_.begin(), workers_.end(), [&](const auto& one) {
+        const auto& workers = workers_.all();
+        return std::any_of(workers.begin(), workers.end(), [&](const auto& one) {
             const auto& worker = one.second;
             return worker.listed && worker.known_to_requester(order) && worker.suits(order, step) &&
                    worker.session->entry().capacity.fits(demand);
@@ -170,14 +82,6 @@
     schedule(now);
 }
 
-bool shard_owner::takeover_complete() const
-{
-    return token_ != 0 && !suspended_ && !workers_.empty() &&
-           std::all_of(workers_.begin(), workers_.end(), [&](auto& one) {
-               return !one.second.held_by_predecessor && one.second.session->takeover_complete();
-           });
-}
-
 void shard_owner::enqueue(job_run& job)
 {
     // The latest start changes as run times are learned. A waiting job keeps that of its entry
@@ -243,7 +147,7 @@
         callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
                           now);
     };
-    if (leaving_ || suspended_ || token_ == 0)
+    if (leaving_ || suspended_ || !workers_.acquired())
         return refuse(wire::job_end::not_owner);
     if (forecast_.drained())
         return refuse(wire::job_end::overloaded);
@@ -413,7 +317,7 @@
                              const std::string& saved, time_point now)
 {
     ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
-    auto& worker = workers_.at(session.entry().id);
+    auto& worker = *workers_.find(session.entry().id);
     profile_.task_ended(tracked.demand.cpu_milli, now - tracked.ordered_at, now);
     const auto job_id = job_run::job_of(tracked.task);
     if (log_.should_log(job_id, now))
@@ -481,7 +385,7 @@
                        "reason=\"" + std::string{to_name(reason)} + '"');
     if (reason == order_outcome::refused || reason == order_outcome::no_room ||
         reason == order_outcome::not_sent)
-        avoid(workers_.at(session.entry().id), to_name(reason), now);
+        avoid(*workers_.find(session.entry().id), to_name(reason), now);
     const auto job_id = job_run::job_of(tracked.task);
     log_line{"start_rejected"}
         .add("job", job_id)
@@ -529,10 +433,8 @@
             const auto& task = job.steps[step].tasks[index];
             if (task.state != task_state::active)
                 continue;
-            const auto worker = workers_.find(task.worker);
-            if (worker == workers_.end())
-                continue;
-            worker->second.session->stop(job.task_name({step, index}), now);
+            if (auto* worker = workers_.find(task.worker))
+                worker->session->stop(job.task_name({step, index}), now);
         }
     }
 }
@@ -543,9 +445,9 @@
         return;
     const auto& tasks = job.steps[step].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        const auto worker = workers_.find(tasks[index].worker);
-        if (tasks[index].state == task_state::active && worker != workers_.end())
-            worker->second.session->stop(job.task_name({step, index}), now);
+        auto* worker = workers_.find(tasks[index].worker);
+        if (tasks[index].state == task_state::active && worker != nullptr)
+            worker->session->stop(job.task_name({step, index}), now);
     }
 }
 
@@ -652,6 +554,7 @@
 void shard_owner::leave(time_point now)
 {
     leaving_ = true;
+    workers_.leave();
     give_back_unstarted(wire::job_end::not_owner, now);
     release_idle_workers(now);
 }
@@ -672,13 +575,8 @@
 void shard_owner::release_idle_workers(time_point now)
 {
     end_idle_jobs(now);
-    for (auto& [id, worker] : workers_) {
-        if (worker.released || !worker.session->tasks().empty())
-            continue;
-        worker.released = true;
-        worker.session->close();
+    for (const auto& id : workers_.release_idle())
         callbacks_.released(id);
-    }
 }
 
 std::size_t shard_owner::interrupt(time_point now)
@@ -686,7 +584,7 @@
     if (!leaving_)
         leave(now);
     std::size_t stopped = 0;
-    for (auto& [id, worker] : workers_) {
+    for (auto& [id, worker] : workers_.all()) {
         for (const auto& [name, tracked] : worker.session->tasks()) {
             if (tracked.stop_ordered)
                 continue;
@@ -697,18 +595,11 @@
     return stopped;
 }
 
-bool shard_owner::released() const
-{
-    return leaving_ && std::all_of(workers_.begin(), workers_.end(),
-                                   [](const auto& one) { return one.second.released; });
-}
-
 void shard_owner::abandon(time_point now)
 {
     leaving_ = true;
     end_all_jobs(now);
-    for (auto& [id, worker] : workers_)
-        worker.session->close();
+    workers_.close();
 }
 
 bool shard_owner::has_stalled(const tracked_task& tracked) const
@@ -757,25 +648,13 @@
         refuse_waiting(id, "latest_start", duration{0}, now);
 }
 
-void shard_owner::log_takeover()
-{
-    if (takeover_logged_ || !takeover_complete())
-        return;
-    takeover_logged_ = true;
-    log_line{"takeover_complete"}
-        .add("shard", to_text(shard_))
-        .add("token", token_)
-        .add("workers", std::uint64_t{workers_.size()})
-        .add("revision", workers_in_use_->revision)
-        .write();
-}
-
 void shard_owner::tick(time_point now)
 {
     pause_.tick(now);
-    for (auto& [id, worker] : workers_)
+    for (auto& [id, worker] : workers_.all())
         worker.session->tick(now);
-    log_takeover();
+    if (!suspended_)
+        workers_.log_takeover();
     check_deadlines(now);
     if (forecast_.drained())
         end_idle_jobs(now);
@@ -785,7 +664,7 @@
     }
     if (now >= next_progress_check_) {
         next_progress_check_ = now + progress_check_interval;
-        for (auto& [id, worker] : workers_) {
+        for (auto& [id, worker] : workers_.all()) {
             if (worker.session->answering())
                 check_progress(worker, now);
         }
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -15,6 +15,7 @@
 #include <fleet/run_time_model.h>
 #include <fleet/shard_forecast.h>
 #include <fleet/shard_plan.h>
+#include <fleet/shard_workers.h>
 #include <fleet/types.h>
 #include <fleet/worker_session.h>
 #include <functional>
@@ -50,7 +51,7 @@
 
     shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics, request_log& log,
                 callbacks cb);
-    ~shard_owner() override;
+    ~shard_owner() override = default;
     shard_owner(const shard_owner&) = delete;
     shard_owner& operator=(const shard_owner&) = delete;
 
@@ -61,10 +62,13 @@
     void acquire_workers(std::uint64_t token, bool wait_for_release, time_point now);
 
     /// The leaving predecessor has released the worker.
-    void worker_released(const std::string& worker, time_point now);
+    void worker_released(const std::string& worker, time_point now)
+    {
+        workers_.released_by_predecessor(worker, now);
+    }
 
     /// The predecessor is gone: acquires the workers that it has not released.
-    void predecessor_gone(time_point now);
+    void predecessor_gone(time_point now) { workers_.predecessor_gone(now); }
 
     /// Replaces the list of workers; those of other shards are ignored.
     /// \param revision of this list; higher than every earlier one of the process
@@ -73,10 +77,10 @@
                         time_point now);
 
     /// True if a worker that is no longer listed has become idle: the next update removes it.
-    bool has_worker_to_remove() const;
+    bool has_worker_to_remove() const { return workers_.any_to_remove(); }
 
     /// The workers on which tasks may be running; their revision is that of their last change.
-    const shared_worker_list& workers_in_use() const noexcept { return workers_in_use_; }
+    const shared_worker_list& workers_in_use() const noexcept { return workers_.in_use(); }
 
     /// Accepts or refuses a job. Another attempt of a job that is already here only updates its
     /// requester, attempt and deadline.
@@ -114,7 +118,7 @@
 
     bool leaving() const noexcept { return leaving_; }
     /// True once every worker has been released.
-    bool released() const;
+    bool released() const { return leaving_ && workers_.all_released(); }
 
     /// Ends the ownership at once. Jobs that have been started end as `abandoned`, others as
     /// `not_owner`.
@@ -124,7 +128,7 @@
 
     /// True if no task that a predecessor started can still run on the workers in use. A
     /// predecessor may have used others.
-    bool takeover_complete() const;
+    bool takeover_complete() const { return !suspended_ && workers_.takeover_complete(); }
 
     /// Free processor time of the usable workers, in thousandths of a core.
     std::uint64_t free_milli() const { return forecast_.usable().free_milli(); }
@@ -134,7 +138,7 @@
     /// What the shard can still take, for the report to other hosts; none if it is not known.
     std::optional<wire::shard_room> room(time_point now) const { return forecast_.room(now); }
     std::size_t jobs() const noexcept { return jobs_.size(); }
-    std::size_t workers() const noexcept { return workers_.size(); }
+    std::size_t workers() const noexcept { return workers_.all().size(); }
     std::size_t usable_workers() const { return forecast_.usable().workers(); }
 
     // session_observer
@@ -146,10 +150,6 @@
     void availability_changed(time_point now) override;
 
 private:
-    void add_worker(const worker_entry& entry, std::uint64_t revision, time_point now);
-    /// Takes over a changed entry. What was learned of an earlier incarnation is discarded.
-    void update_entry(managed_worker& worker, const worker_entry& entry, time_point now);
-    void log_takeover();
     bool satisfiable(const wire::job_order& order) const;
     void enqueue(job_run& job);
     queued_job queue_entry(const job_run& job) const;
@@ -195,26 +195,21 @@
     void count_end(wire::job_end end);
 
     wire::shard shard_;
-    worker_port& port_;
     metrics::registry& metrics_;
     request_log& log_;
     callbacks callbacks_;
     run_time_model model_;
     outstanding_runs runs_;
-    worker_map workers_;
-    shared_worker_list workers_in_use_ = std::make_shared<const worker_list>();
+    shard_workers workers_;
     job_map jobs_;
     job_queue queue_;
     demand_profile profile_;
     shard_forecast forecast_;
     job_placer placer_;
-    std::uint64_t token_ = 0;
     time_point next_progress_check_{};
     time_point next_waiting_check_{};
     pause_monitor pause_;
-    bool takeover_logged_ = false;
     bool suspended_ = false; ///< a worker refused the token, and no higher one is in use yet
-    bool predecessor_leaving_ = false; ///< a predecessor still releases its workers
     bool leaving_ = false;
     bool scheduling_ = false;
 };
