Part the avoidance of failing workers from shard_owner

Cause: shard_owner decided for how long a worker is avoided, with constants and history of its own beside everything else, and task_ended had the paths of success and of failure in one function of 60 lines. Change: worker_avoidance; task_done and task_not_done. No change of behaviour.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -50,6 +50,7 @@
 #include <fleet/topic_reader.h>
 #include <fleet/types.h>
 #include <fleet/usable_capacity.h>
+#include <fleet/worker_avoidance.h>
 #include <fleet/worker_clock.h>
 #include <fleet/worker_directory.h>
 #include <fleet/worker_session.h>
--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr duration progress_check_interval = milliseconds{50};
-/// Consecutive failures after which a worker is avoided.
-constexpr std::uint32_t avoidance_failure_threshold = 2;
-constexpr duration initial_avoidance = seconds{2};
-constexpr duration max_avoidance = seconds{8};
 constexpr auto default_retry_after_ms = shard_forecast::default_retry_after_ms;
 /// Interval at which waiting jobs are checked against the forecast.
 constexpr duration waiting_check_interval = milliseconds{20};
@@ -27,9 +23,9 @@
 
 shard_owner::shard_owner(wire::shard shard, worker_port& port, metrics::registry& metrics,
                          request_log& log, callbacks cb)
-    : shard_{std::move(shard)}, metrics_{metrics}, log_{log}, callbacks_{std::move(cb)},
-      workers_{shard_, {port, *this, runs_, model_}}, forecast_{{workers_.all(), jobs_, queue_,
-                                                                 profile_, model_}},
+    : shard_{std::move(shard)}, metrics_{metrics}, log_{log},
+      callbacks_{std::move(cb)}, workers_{shard_, {port, *this, runs_, model_}},
+      avoidance_{metrics}, forecast_{{workers_.all(), jobs_, queue_, profile_, model_}},
       placer_{{workers_.all(), jobs_, model_, profile_, runs_,
                [this](std::int64_t cpu_milli) { return forecast_.share_admits(cpu_milli); }},
               [this](job_run& job, task_position position, managed_worker& worker, time_point now) {
@@ -299,25 +295,11 @@
                   task.saved, now);
 }
 
-void shard_owner::avoid(managed_worker& worker, std::string_view reason, time_point now)
-{
-    worker.last_avoidance = worker.last_avoidance == duration{0}
-                                ? initial_avoidance
-                                : std::min(worker.last_avoidance * 2, max_avoidance);
-    worker.avoid_until = now + worker.last_avoidance;
-    ++metrics_.counter("chivewharf_worker_avoidances_total");
-    log_line{"worker_avoided"}
-        .add("worker", worker.session->entry().id)
-        .add("why", reason)
-        .add("for_ms", to_ms(worker.last_avoidance))
-        .write();
-}
-
 void shard_owner::task_ended(worker_session& session, const tracked_task& tracked, task_end end,
                              const std::string& saved, time_point now)
 {
     ++metrics_.counter("chivewharf_task_ends_total", "end=\"" + std::string{to_name(end)} + '"');
-    auto& worker = *workers_.find(session.entry().id);
+    avoidance_.task_ended(*workers_.find(session.entry().id), end, now);
     profile_.task_ended(tracked.demand.cpu_milli, now - tracked.ordered_at, now);
     const auto job_id = job_run::job_of(tracked.task);
     if (log_.should_log(job_id, now))
@@ -329,47 +311,50 @@
             .add("end", to_name(end))
             .add("after_ms", to_ms(now - tracked.ordered_at))
             .write();
-    if (end == task_end::done) {
-        worker.consecutive_failures = 0;
-        worker.last_avoidance = duration{0};
-    }
-    else if (end == task_end::failed &&
-             ++worker.consecutive_failures >= avoidance_failure_threshold)
-        avoid(worker, "tasks fail", now);
-    auto* known = find_job_of_current_run(tracked);
-    if (known == nullptr)
+    auto* job = find_job_of_current_run(tracked);
+    if (job == nullptr)
         return;
-    auto& job = *known;
     const auto position = job_run::position_of(tracked.task);
+    --job->steps[position.step].active;
+    if (!saved.empty())
+        job->task(position).saved = saved;
+    if (end == task_end::done)
+        task_done(*job, position, now - tracked.ordered_at, now);
+    else
+        task_not_done(*job, position, end, now);
+}
+
+void shard_owner::task_done(job_run& job, task_position position, duration run_time, time_point now)
+{
+    const auto& order = job.order.steps[position.step];
     auto& task = job.task(position);
     auto& step = job.steps[position.step];
-    --step.active;
-    if (!saved.empty())
-        task.saved = saved;
-    if (end == task_end::done) {
-        task.state = task_state::done;
-        ++step.done;
-        model_.observe(job.order.queue, milliseconds{job.order.steps[position.step].estimate_ms},
-                       task.worker, now - tracked.ordered_at);
-        job.longest_run = std::max(job.longest_run, now - tracked.ordered_at);
-        if (job.order.steps[position.step].gang) {
-            // The success of one gang member counts for all of them.
-            for (auto& member : step.tasks)
-                member.state = task_state::done;
-            step.done = static_cast<std::uint32_t>(step.tasks.size());
-            step.active = 0;
-        }
-        if (job.completed() && job.steps.size() == 1)
-            model_.observe_longest(job.order.queue, job.critical_path_estimate(), job.longest_run);
-        if (job.completed())
-            finish(job_id, wire::job_end::completed, now);
-        else
-            enqueue(job);
+    task.state = task_state::done;
+    ++step.done;
+    model_.observe(job.order.queue, milliseconds{order.estimate_ms}, task.worker, run_time);
+    job.longest_run = std::max(job.longest_run, run_time);
+    if (order.gang) {
+        // The success of one gang member counts for all of them.
+        for (auto& member : step.tasks)
+            member.state = task_state::done;
+        step.done = static_cast<std::uint32_t>(step.tasks.size());
+        step.active = 0;
+    }
+    if (!job.completed()) {
+        enqueue(job);
         return;
     }
+    if (job.steps.size() == 1)
+        model_.observe_longest(job.order.queue, job.critical_path_estimate(), job.longest_run);
+    finish(job.order.job, wire::job_end::completed, now);
+}
+
+void shard_owner::task_not_done(job_run& job, task_position position, task_end end, time_point now)
+{
+    auto& task = job.task(position);
     task.state = task_state::waiting;
     if (end == task_end::failed && ++task.failures >= job.order.max_attempts) {
-        finish(job_id, wire::job_end::failed, now);
+        finish(job.order.job, wire::job_end::failed, now);
         return;
     }
     ++metrics_.counter("chivewharf_task_retries_total",
@@ -383,9 +368,7 @@
 {
     ++metrics_.counter("chivewharf_start_rejections_total",
                        "reason=\"" + std::string{to_name(reason)} + '"');
-    if (reason == order_outcome::refused || reason == order_outcome::no_room ||
-        reason == order_outcome::not_sent)
-        avoid(*workers_.find(session.entry().id), to_name(reason), now);
+    avoidance_.start_rejected(*workers_.find(session.entry().id), reason, now);
     const auto job_id = job_run::job_of(tracked.task);
     log_line{"start_rejected"}
         .add("job", job_id)
@@ -621,8 +604,7 @@
     for (const auto& [name, tracked] : worker.session->tasks()) {
         if (!has_stalled(tracked))
             continue;
-        if (worker.avoid_until <= now)
-            avoid(worker, "task does not progress", now);
+        avoidance_.task_stalled(worker, now);
         worker.session->stop(std::string{name}, now);
     }
 }
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -17,6 +17,7 @@
 #include <fleet/shard_plan.h>
 #include <fleet/shard_workers.h>
 #include <fleet/types.h>
+#include <fleet/worker_avoidance.h>
 #include <fleet/worker_session.h>
 #include <functional>
 #include <map>
@@ -168,7 +169,10 @@
     /// \param reserved_share_only ends once these jobs have had their reserved share
     void start_waiting(std::uint32_t priority, bool reserved_share_only, time_point now);
     void order_start(job_run& job, task_position position, managed_worker& worker, time_point now);
-    void avoid(managed_worker& worker, std::string_view reason, time_point now);
+    /// A run has succeeded.
+    void task_done(job_run& job, task_position position, duration run_time, time_point now);
+    /// A run has ended otherwise: the task waits for another one, or its job has failed.
+    void task_not_done(job_run& job, task_position position, task_end end, time_point now);
     void finish(const std::string& job, wire::job_end why, time_point now);
     /// The end that the requester is told. After one that lets it send the job to another owner at
     /// once, a run of the job must not be on a worker any more, not even one of an earlier
@@ -201,6 +205,7 @@
     run_time_model model_;
     outstanding_runs runs_;
     shard_workers workers_;
+    worker_avoidance avoidance_;
     job_map jobs_;
     job_queue queue_;
     demand_profile profile_;
