Part the acceptance of jobs in shard_owner, and stop tasks in one place

Cause: submit had four jobs in one function, one of them a lambda; the stops of a gang and of a job stood twice. Change: submit_again, reason_to_refuse and refuse; stop_step for both. No change of behaviour.

--- a/modules/fleet/shard_owner.cpp
+++ b/modules/fleet/shard_owner.cpp
@@ -114,41 +114,10 @@
                          bool remote)
 {
     const auto known = jobs_.find(order.job);
-    if (known != jobs_.end()) {
-        auto& job = *known->second;
-        if (order.worker_revision != 0 && order.worker_revision < job.order.worker_revision)
-            return callbacks_.result(
-                requester,
-                {order.job, order.attempt, wire::job_end::not_owner, default_retry_after_ms}, now);
-        job.requester = requester;
-        job.order.worker_revision = order.worker_revision;
-        job.order.attempt = order.attempt;
-        job.orphaned_since.reset();
-        job.deadline = now + milliseconds{order.remaining_ms};
-        return;
-    }
-    auto refuse = [&](wire::job_end why) {
-        const auto reason = end_to_report(order.job, why);
-        count_end(reason);
-        if (log_.should_log(order.job, now))
-            log_line{"job_refused"}
-                .add("job", order.job)
-                .add("shard", to_text(shard_))
-                .add("why", to_name(reason))
-                .add("waiting", std::uint64_t{queue_.size()})
-                .add("free_milli", free_milli())
-                .add("usable_workers", std::uint64_t{usable_workers()})
-                .add("drained", forecast_.drained() ? "true" : "false")
-                .write();
-        callbacks_.result(requester, {order.job, order.attempt, reason, default_retry_after_ms},
-                          now);
-    };
-    if (leaving_ || suspended_ || !workers_.acquired())
-        return refuse(wire::job_end::not_owner);
-    if (forecast_.drained())
-        return refuse(wire::job_end::overloaded);
-    if (!satisfiable(order))
-        return refuse(wire::job_end::impossible);
+    if (known != jobs_.end())
+        return submit_again(*known->second, order, requester, now);
+    if (const auto reason = reason_to_refuse(order))
+        return refuse(order, requester, *reason, now);
     auto job = std::make_unique<job_run>(std::move(order), requester, now);
     job->priority =
         std::min(job->order.priority + (remote ? 1 : 0), demand_profile::max_priorities - 1);
@@ -161,6 +130,52 @@
     schedule(now);
 }
 
+void shard_owner::submit_again(job_run& job, const wire::job_order& order,
+                               const std::string& requester, time_point now)
+{
+    // The job may run on a worker that the sender of the older list does not know.
+    if (order.worker_revision != 0 && order.worker_revision < job.order.worker_revision) {
+        callbacks_.result(
+            requester, {order.job, order.attempt, wire::job_end::not_owner, default_retry_after_ms},
+            now);
+        return;
+    }
+    job.requester = requester;
+    job.order.worker_revision = order.worker_revision;
+    job.order.attempt = order.attempt;
+    job.orphaned_since.reset();
+    job.deadline = now + milliseconds{order.remaining_ms};
+}
+
+std::optional<wire::job_end> shard_owner::reason_to_refuse(const wire::job_order& order) const
+{
+    if (leaving_ || suspended_ || !workers_.acquired())
+        return wire::job_end::not_owner;
+    if (forecast_.drained())
+        return wire::job_end::overloaded;
+    if (!satisfiable(order))
+        return wire::job_end::impossible;
+    return std::nullopt;
+}
+
+void shard_owner::refuse(const wire::job_order& order, const std::string& requester,
+                         wire::job_end reason, time_point now)
+{
+    const auto end = end_to_report(order.job, reason);
+    count_end(end);
+    if (log_.should_log(order.job, now))
+        log_line{"job_refused"}
+            .add("job", order.job)
+            .add("shard", to_text(shard_))
+            .add("why", to_name(end))
+            .add("waiting", std::uint64_t{queue_.size()})
+            .add("free_milli", free_milli())
+            .add("usable_workers", std::uint64_t{usable_workers()})
+            .add("drained", forecast_.drained() ? "true" : "false")
+            .write();
+    callbacks_.result(requester, {order.job, order.attempt, end, default_retry_after_ms}, now);
+}
+
 bool shard_owner::admit(const job_run& job, time_point now)
 {
     const auto overload = forecast_.overload_for(job, now);
@@ -409,23 +424,8 @@
         finish(id, end, now);
 }
 
-void shard_owner::stop_tasks(const job_run& job, time_point now)
-{
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        for (std::size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            const auto& task = job.steps[step].tasks[index];
-            if (task.state != task_state::active)
-                continue;
-            if (auto* worker = workers_.find(task.worker))
-                worker->session->stop(job.task_name({step, index}), now);
-        }
-    }
-}
-
-void shard_owner::stop_gang(const job_run& job, std::size_t step, time_point now)
+void shard_owner::stop_step(const job_run& job, std::size_t step, time_point now)
 {
-    if (!job.order.steps[step].gang)
-        return;
     const auto& tasks = job.steps[step].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto* worker = workers_.find(tasks[index].worker);
@@ -434,6 +434,12 @@
     }
 }
 
+void shard_owner::stop_gang(const job_run& job, std::size_t step, time_point now)
+{
+    if (job.order.steps[step].gang)
+        stop_step(job, step, now);
+}
+
 std::unique_ptr<job_run> shard_owner::remove_job(const std::string& id, time_point now)
 {
     const auto found = jobs_.find(id);
@@ -442,7 +448,8 @@
     auto job = std::move(found->second);
     jobs_.erase(found);
     queue_.erase(id);
-    stop_tasks(*job, now);
+    for (std::size_t step = 0; step < job->steps.size(); ++step)
+        stop_step(*job, step, now);
     return job;
 }
 
--- a/modules/fleet/shard_owner.h
+++ b/modules/fleet/shard_owner.h
@@ -152,6 +152,13 @@
 
 private:
     bool satisfiable(const wire::job_order& order) const;
+    /// Another attempt of a job that is here has been sent.
+    void submit_again(job_run& job, const wire::job_order& order, const std::string& requester,
+                      time_point now);
+    /// Why the owner accepts no such job now, whatever its load; none if it may.
+    std::optional<wire::job_end> reason_to_refuse(const wire::job_order& order) const;
+    void refuse(const wire::job_order& order, const std::string& requester, wire::job_end reason,
+                time_point now);
     void enqueue(job_run& job);
     queued_job queue_entry(const job_run& job) const;
     void note_demand(const job_run& job, time_point now);
@@ -184,7 +191,8 @@
     /// The job that the run belongs to; null if the job has ended or the run is not the current one
     /// of its task.
     job_run* find_job_of_current_run(const tracked_task& tracked);
-    void stop_tasks(const job_run& job, time_point now);
+    /// Stops the tasks of the step that are active.
+    void stop_step(const job_run& job, std::size_t step, time_point now);
     /// Stops the members of a gang that are active: they would wait in vain for one that has ended.
     void stop_gang(const job_run& job, std::size_t step, time_point now);
     bool has_stalled(const tracked_task& tracked) const;
