--- a/modules/fleet/job_placer.cpp
+++ b/modules/fleet/job_placer.cpp
@@ -19,12 +19,8 @@
         return true;
     // A job that waits for the end of a former run tells nothing about room, and holds none.
     const auto next = job.first_waiting();
-    if (!next)
+    if (!next || has_former_run(job, *next))
         return false;
-    if (has_former_run(job, *next)) {
-        log_former_run(job, *next);
-        return false;
-    }
     if (tried && waits_for_room_only(job))
         backfill_.found_no_worker(job.order.service, demand_of(job.order.steps.front()));
     reserve_worker(job, *next, times.start_by, now);
@@ -45,6 +41,7 @@
             if (job.steps[step].tasks[index].state != task_state::waiting)
                 continue;
             if (has_former_run(job, {step, index})) {
+                log_former_run(job, {step, index});
                 all = false;
                 continue;
             }
@@ -71,12 +68,14 @@
 bool job_placer::start_tasks(job_run& job, std::size_t step,
                              const std::vector<placement>& placements, time_point now)
 {
-    const bool former_run =
-        std::any_of(placements.begin(), placements.end(), [&](const placement& one) {
+    const auto waiting =
+        std::find_if(placements.begin(), placements.end(), [&](const placement& one) {
             return has_former_run(job, {step, one.index});
         });
-    if (former_run)
+    if (waiting != placements.end()) {
+        log_former_run(job, {step, waiting->index});
         return false;
+    }
     for (const auto& one : placements)
         start_(job, {step, one.index}, *one.worker, now);
     return true;
--- a/modules/fleet/job_router.cpp
+++ b/modules/fleet/job_router.cpp
@@ -278,7 +278,8 @@
         job.told_retry = std::min(job.told_retry.value_or(retry_after), retry_after);
     ++metrics_.counter("chivewharf_job_refusals_total",
                        "reason=\"" + std::string{to_name(reason)} + '"');
-    // After `not_owner`, the job waits for the new owner's report; `tick` then sends it again.
+    // After `not_owner`, the job waits for the new owner's report, and after a pause for the
+    // callers' departures; `tick` then sends it again.
     const bool may_try_another = job.refused_by.size() < max_refusals;
     const bool waits_for_tick = reason == wire::job_end::not_owner || pause_.paused(now);
     if (waits_for_tick || (may_try_another && dispatch(job, now)) || job.unsafe_owner ||
